Lay out the modules, the kernel and the contracts between parts

Cause: nothing stands yet, and the parts of the fleet are to be built side by side, so what joins them has to be fixed first.

--- /dev/null
+++ b/mangowall-claims/src/main/java/org/mangowall/claims/package-info.java
@@ -0,0 +1,2 @@
+/** Placeholder. */
+package org.mangowall.claims;
--- /dev/null
+++ b/mangowall-kernel/src/main/java/org/mangowall/kernel/duty/package-info.java
@@ -0,0 +1,2 @@
+/** Threads with one duty each, joined by bounded rings. */
+package org.mangowall.kernel.duty;
--- /dev/null
+++ b/mangowall-kernel/src/main/java/org/mangowall/kernel/failure/FailureCode.java
@@ -0,0 +1,114 @@
+package org.mangowall.kernel.failure;
+
+import static org.mangowall.kernel.failure.RequestOutcome.NOT_RUN;
+import static org.mangowall.kernel.failure.RequestOutcome.UNKNOWN;
+
+/**
+ * The stable codes of all failures.
+ *
+ * <p>Codes are part of the interface: a published code never changes its meaning. The HTTP status and the outcome are
+ * those that a caller sees when the failure ends a request.
+ */
+public enum FailureCode {
+    /** A name does not follow the syntax. */
+    INVALID_NAME("invalid-name", 400, NOT_RUN),
+    /** The HTTP request or its body can't be read. */
+    MALFORMED_REQUEST("malformed-request", 400, NOT_RUN),
+    /** The header that names the workspace is missing. */
+    WORKSPACE_MISSING("workspace-missing", 400, NOT_RUN),
+    /** The inventory has no such workspace. */
+    WORKSPACE_UNKNOWN("workspace-unknown", 403, NOT_RUN),
+    /** The caller or operator did not prove who it is. */
+    NOT_AUTHENTICATED("not-authenticated", 401, NOT_RUN),
+    /** The inventory has no such service. */
+    SERVICE_UNKNOWN("service-unknown", 404, NOT_RUN),
+    /** The path leads to nothing the router offers. */
+    PATH_UNKNOWN("path-unknown", 404, NOT_RUN),
+    /** The body is larger than the router takes. */
+    BODY_TOO_LARGE("body-too-large", 413, NOT_RUN),
+    /** The headers are larger than the router takes. */
+    HEADERS_TOO_LARGE("headers-too-large", 431, NOT_RUN),
+    /** The workspace has as many waiting requests as it may have. */
+    WORKSPACE_QUEUE_FULL("workspace-queue-full", 429, NOT_RUN),
+    /** A ring or queue of the router is full. */
+    ROUTER_BUSY("router-busy", 503, NOT_RUN),
+    /** The router has no configuration yet. */
+    NOT_READY("not-ready", 503, NOT_RUN),
+    /** The router is shutting down and takes nothing new. */
+    ROUTER_LEAVING("router-leaving", 503, NOT_RUN),
+    /** No runner of the service is open for work. */
+    NO_RUNNER("no-runner", 503, NOT_RUN),
+    /** The request waited as long as it may, and was not sent. */
+    QUEUE_TIMEOUT("queue-timeout", 503, NOT_RUN),
+    /** Tries ended, each with the certainty that nothing ran. */
+    RETRIES_EXHAUSTED("retries-exhausted", 503, NOT_RUN),
+    /** The connection to the runner broke after sending began. */
+    RUNNER_CONNECTION_LOST("runner-connection-lost", 502, UNKNOWN),
+    /** The runner made no progress in time. */
+    RUNNER_TIMEOUT("runner-timeout", 504, UNKNOWN),
+    /** The runner's answer breaks the protocol. */
+    RUNNER_ANSWER_INVALID("runner-answer-invalid", 502, UNKNOWN),
+    /** The home router of the request was lost. */
+    HOME_LOST("home-lost", 502, UNKNOWN),
+    /** The caller went away before the answer ended. */
+    CALLER_GONE("caller-gone", 499, UNKNOWN),
+    /** The idempotency key can't be claimed because the platform does not answer. */
+    CLAIM_UNAVAILABLE("claim-unavailable", 503, NOT_RUN),
+    /** A request with the same idempotency key is under way. */
+    CLAIM_IN_PROGRESS("claim-in-progress", 409, UNKNOWN),
+    /** A request with the same idempotency key was sent and its outcome is not known. */
+    CLAIM_OUTCOME_UNKNOWN("claim-outcome-unknown", 409, UNKNOWN),
+    /** The idempotency key was used for another request. */
+    CLAIM_MISMATCH("claim-mismatch", 422, NOT_RUN),
+    /** A frame between routers can't be read. */
+    FRAME_INVALID("frame-invalid", 400, NOT_RUN),
+    /** The settings file has faults. */
+    SETTINGS_INVALID("settings-invalid", 400, NOT_RUN),
+    /** The inventory has faults. */
+    INVENTORY_INVALID("inventory-invalid", 400, NOT_RUN),
+    /** The platform does not answer. */
+    PLATFORM_UNAVAILABLE("platform-unavailable", 503, NOT_RUN),
+    /** The platform refused the call because its rate is used up. */
+    PLATFORM_RATE_LIMITED("platform-rate-limited", 503, NOT_RUN),
+    /** The object's version is not the expected one. */
+    PLATFORM_CONFLICT("platform-conflict", 409, NOT_RUN),
+    /** The platform has no such object. */
+    PLATFORM_OBJECT_MISSING("platform-object-missing", 404, NOT_RUN),
+    /** The object is larger than the platform takes. */
+    PLATFORM_OBJECT_TOO_LARGE("platform-object-too-large", 413, NOT_RUN),
+    /** The platform's answer was lost, so the effect of a write is not known. */
+    PLATFORM_ANSWER_LOST("platform-answer-lost", 503, UNKNOWN),
+    /** No plug-in has the name. */
+    PLUGIN_UNKNOWN("plugin-unknown", 400, NOT_RUN),
+    /** An address can't be bound. */
+    ADDRESS_UNUSABLE("address-unusable", 500, NOT_RUN),
+    /** A command line can't be understood. */
+    USAGE("usage", 400, NOT_RUN),
+    /** A fault in the program. */
+    INTERNAL("internal", 500, UNKNOWN);
+
+    private final String code;
+    private final int httpStatus;
+    private final RequestOutcome outcome;
+
+    FailureCode(String code, int httpStatus, RequestOutcome outcome) {
+        this.code = code;
+        this.httpStatus = httpStatus;
+        this.outcome = outcome;
+    }
+
+    /** The stable code, in lower case with dashes. */
+    public String code() {
+        return code;
+    }
+
+    /** The HTTP status that goes with the code. */
+    public int httpStatus() {
+        return httpStatus;
+    }
+
+    /** What the caller may conclude about side effects. */
+    public RequestOutcome outcome() {
+        return outcome;
+    }
+}
--- /dev/null
+++ b/mangowall-kernel/src/main/java/org/mangowall/kernel/failure/package-info.java
@@ -0,0 +1,2 @@
+/** Failure codes and the unchecked exceptions that carry them. */
+package org.mangowall.kernel.failure;
--- /dev/null
+++ b/mangowall-kernel/src/main/java/org/mangowall/kernel/log/package-info.java
@@ -0,0 +1,2 @@
+/** Logging with a fixed prefix for each part. */
+package org.mangowall.kernel.log;
--- /dev/null
+++ b/mangowall-kernel/src/main/java/org/mangowall/kernel/name/RouterName.java
@@ -0,0 +1,24 @@
+package org.mangowall.kernel.name;
+
+/**
+ * The name of a router process, one on each entry host.
+ *
+ * @param value the text; see {@link NameSyntax}
+ */
+public record RouterName(String value) implements Comparable<RouterName> {
+
+    /** Checks the text. */
+    public RouterName {
+        NameSyntax.check("Router", value);
+    }
+
+    @Override
+    public int compareTo(RouterName other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/mangowall-kernel/src/main/java/org/mangowall/kernel/name/WorkspaceName.java
@@ -0,0 +1,24 @@
+package org.mangowall.kernel.name;
+
+/**
+ * The name of a workspace, the unit among which capacity is shared.
+ *
+ * @param value the text; see {@link NameSyntax}
+ */
+public record WorkspaceName(String value) implements Comparable<WorkspaceName> {
+
+    /** Checks the text. */
+    public WorkspaceName {
+        NameSyntax.check("Workspace", value);
+    }
+
+    @Override
+    public int compareTo(WorkspaceName other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/mangowall-kernel/src/main/java/org/mangowall/kernel/plugin/package-info.java
@@ -0,0 +1,2 @@
+/** The registry in which plug-ins announce themselves by name. */
+package org.mangowall.kernel.plugin;
--- /dev/null
+++ b/mangowall-kernel/src/test/java/org/mangowall/kernel/duty/DutyTest.java
@@ -0,0 +1,60 @@
+package org.mangowall.kernel.duty;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class DutyTest {
+
+    private static final Duration TICK = Duration.ofMillis(10);
+
+    @Test
+    void eventsAreHandledInTheOrderOfOffers() throws InterruptedException {
+        List<Integer> handled = Collections.synchronizedList(new ArrayList<>());
+        CountDownLatch done = new CountDownLatch(3);
+        Duty<Integer> duty = new Duty<Integer>("order", 8, TICK, event -> {
+                    handled.add(event);
+                    done.countDown();
+                })
+                .start();
+        duty.offer(1);
+        duty.offer(2);
+        duty.offer(3);
+        done.await();
+        duty.close();
+        assertEquals(List.of(1, 2, 3), handled);
+    }
+
+    @Test
+    void aFullRingRefusesAndCounts() {
+        Duty<Integer> duty = new Duty<>("full", 2, TICK, event -> {});
+        assertTrue(duty.offer(1));
+        assertTrue(duty.offer(2));
+        assertFalse(duty.offer(3));
+        assertEquals(1, duty.refusedEvents());
+    }
+
+    @Test
+    void aFailingHandlerDoesNotEndTheDuty() throws InterruptedException {
+        CountDownLatch done = new CountDownLatch(1);
+        Duty<Integer> duty = new Duty<Integer>("failing", 8, TICK, event -> {
+                    if (event == 1) {
+                        throw new IllegalStateException("on purpose");
+                    }
+                    done.countDown();
+                })
+                .start();
+        duty.offer(1);
+        duty.offer(2);
+        done.await();
+        duty.close();
+    }
+}
--- /dev/null
+++ b/mangowall-policy/src/main/java/org/mangowall/policy/action/package-info.java
@@ -0,0 +1,2 @@
+/** What a router's decision core orders. */
+package org.mangowall.policy.action;
--- /dev/null
+++ b/mangowall-policy/src/main/java/org/mangowall/policy/event/package-info.java
@@ -0,0 +1,2 @@
+/** What a router's decision core learns. */
+package org.mangowall.policy.event;
--- /dev/null
+++ b/mangowall-policy/src/main/java/org/mangowall/policy/fleet/FleetMember.java
@@ -0,0 +1,35 @@
+package org.mangowall.policy.fleet;
+
+import org.mangowall.kernel.name.RouterName;
+import org.mangowall.kernel.name.ZoneName;
+
+/**
+ * One router of the fleet.
+ *
+ * @param name the router
+ * @param incarnation grows with each start of the process
+ * @param zone the availability zone in which it stands
+ * @param host the IP address of all its ports
+ * @param callerPort the TCP port for callers
+ * @param peerPort the TCP port for other routers
+ * @param state how it is seen
+ */
+public record FleetMember(
+        RouterName name,
+        long incarnation,
+        ZoneName zone,
+        String host,
+        int callerPort,
+        int peerPort,
+        MemberState state) {
+
+    /** The same router in another state. */
+    public FleetMember withState(MemberState other) {
+        return new FleetMember(name, incarnation, zone, host, callerPort, peerPort, other);
+    }
+
+    /** Whether it may be home to runners: alive, or only suspected. */
+    public boolean mayBeHome() {
+        return state == MemberState.ALIVE || state == MemberState.SUSPECT;
+    }
+}
--- /dev/null
+++ b/mangowall-policy/src/main/java/org/mangowall/policy/fleet/package-info.java
@@ -0,0 +1,2 @@
+/** The routers of the fleet as one router sees them. */
+package org.mangowall.policy.fleet;
--- /dev/null
+++ b/mangowall-protocol/src/main/java/org/mangowall/protocol/StoredAnswer.java
@@ -0,0 +1,18 @@
+package org.mangowall.protocol;
+
+import java.util.List;
+
+/**
+ * A whole answer that is kept for repeats with the same idempotency key.
+ *
+ * @param status the HTTP status
+ * @param headers the header fields
+ * @param body the body; not copied, and not to be changed
+ */
+public record StoredAnswer(int status, List<HeaderField> headers, byte[] body) {
+
+    /** Copies the header fields. */
+    public StoredAnswer {
+        headers = List.copyOf(headers);
+    }
+}
--- /dev/null
+++ b/mangowall-protocol/src/main/java/org/mangowall/protocol/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between routers and their MessagePack frames. */
+package org.mangowall.protocol;
