Let shares carry refunds and pulls carry a tag

Counters that only grow can't settle an over-estimate by themselves; a second only-growing counter of refunds makes the net exact at once and is merged by maximum all the same. A pull that names the puller's own head tag never moves a request that would be no better off there.

--- a/mangowall-policy/src/main/java/org/mangowall/policy/CounterSnapshot.java
+++ b/mangowall-policy/src/main/java/org/mangowall/policy/CounterSnapshot.java
@@ -27,8 +27,14 @@
      * @param incarnation its incarnation
      * @param workspace the workspace
      * @param charged as in {@link WorkspaceShare#charged()}
+     * @param refunded as in {@link WorkspaceShare#refunded()}
      * @param lift as in {@link WorkspaceShare#lift()}
      */
     public record OriginCharge(
-            RouterName origin, long incarnation, WorkspaceName workspace, double charged, double lift) {}
+            RouterName origin,
+            long incarnation,
+            WorkspaceName workspace,
+            double charged,
+            double refunded,
+            double lift) {}
 }
--- a/mangowall-policy/src/main/java/org/mangowall/policy/action/DecisionAction.java
+++ b/mangowall-policy/src/main/java/org/mangowall/policy/action/DecisionAction.java
@@ -44,8 +44,12 @@
     /** Home: tell another home the state of a service. */
     record SendExchange(RouterName to, ServiceExchange exchange) implements DecisionAction {}
 
-    /** Home: ask another home for waiting requests. */
-    record SendPull(RouterName to, ServiceName service, int slots) implements DecisionAction {}
+    /**
+     * Home: ask another home for waiting requests.
+     *
+     * @param belowTag only requests of workspaces with a smaller virtual time; positive infinity for any
+     */
+    record SendPull(RouterName to, ServiceName service, int slots, double belowTag) implements DecisionAction {}
 
     /** Ask a router for all its counters. */
     record AskCounters(RouterName to) implements DecisionAction {}
--- a/mangowall-policy/src/main/java/org/mangowall/policy/event/DecisionEvent.java
+++ b/mangowall-policy/src/main/java/org/mangowall/policy/event/DecisionEvent.java
@@ -73,8 +73,12 @@
     /** Another home's state of a service arrived. */
     record ExchangeReceived(ServiceExchange exchange) implements DecisionEvent {}
 
-    /** Home: another home has room for requests that wait here. */
-    record PullReceived(RouterName from, ServiceName service, int slots) implements DecisionEvent {}
+    /**
+     * Home: another home has room for requests that wait here.
+     *
+     * @param belowTag only requests of workspaces with a smaller virtual time; positive infinity for any
+     */
+    record PullReceived(RouterName from, ServiceName service, int slots, double belowTag) implements DecisionEvent {}
 
     /** A router that started empty asks for all counters. */
     record CountersAsked(RouterName from) implements DecisionEvent {}
--- a/mangowall-protocol/src/main/java/org/mangowall/protocol/PeerMessage.java
+++ b/mangowall-protocol/src/main/java/org/mangowall/protocol/PeerMessage.java
@@ -61,8 +61,8 @@
     /** Home to home: the state of a service. */
     record Exchange(ServiceExchange exchange) implements PeerMessage {}
 
-    /** Home to home: room for waiting requests. */
-    record PullRequests(ServiceName service, int slots) implements PeerMessage {}
+    /** Home to home: room for waiting requests of workspaces with a virtual time below the tag. */
+    record PullRequests(ServiceName service, int slots, double belowTag) implements PeerMessage {}
 
     /** Asks for all counters. */
     record CountersAsk() implements PeerMessage {}
