Add the decision core with the fair policy and three baselines

One core serves all policies: entry role, home role, limits of runners, accounts of workspaces, exchange and pull between homes. A policy only chooses among strategies, so that baselines differ in nothing else.

Retries tell of earlier uncertain tries (RequestDescription.mayHaveRun), so that no later refusal can deny that a request may have run. Limits of the baselines are the runners' slots; the fair ones start slowly.

--- a/mangowall-policy/src/main/java/org/mangowall/policy/RequestDescription.java
+++ b/mangowall-policy/src/main/java/org/mangowall/policy/RequestDescription.java
@@ -17,6 +17,7 @@
  * @param prefixHash a hash of the prompt's beginning for prefix affinity, 0 when there is none
  * @param waited how long it has waited at homes so far
  * @param moves how often it has moved between homes
+ * @param mayHaveRun whether an earlier try may have reached a runner; a refusal must not deny that
  */
 public record RequestDescription(
         RequestIdentifier identifier,
@@ -26,11 +27,37 @@
         double costHint,
         long prefixHash,
         Duration waited,
-        int moves) {
+        int moves,
+        boolean mayHaveRun) {
+
+    /** A request of which no try was made yet. */
+    public RequestDescription(
+            RequestIdentifier identifier,
+            WorkspaceName workspace,
+            ServiceName service,
+            boolean repeatable,
+            double costHint,
+            long prefixHash,
+            Duration waited,
+            int moves) {
+        this(identifier, workspace, service, repeatable, costHint, prefixHash, waited, moves, false);
+    }
 
     /** The same request after another wait at a home that released it. */
     public RequestDescription movedAfter(Duration totalWait) {
         return new RequestDescription(
-                identifier, workspace, service, repeatable, costHint, prefixHash, totalWait, moves + 1);
+                identifier, workspace, service, repeatable, costHint, prefixHash, totalWait, moves + 1, mayHaveRun);
+    }
+
+    /** The same request after it waited at its entry. */
+    public RequestDescription afterWait(Duration totalWait) {
+        return new RequestDescription(
+                identifier, workspace, service, repeatable, costHint, prefixHash, totalWait, moves, mayHaveRun);
+    }
+
+    /** The same request after a try that may have reached a runner. */
+    public RequestDescription afterUncertainTry() {
+        return new RequestDescription(
+                identifier, workspace, service, repeatable, costHint, prefixHash, waited, moves, true);
     }
 }
--- /dev/null
+++ b/mangowall-policy/src/main/java/org/mangowall/policy/core/WaitingQueue.java
@@ -0,0 +1,134 @@
+package org.mangowall.policy.core;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+import org.mangowall.kernel.name.WorkspaceName;
+import org.mangowall.policy.core.PolicyTraits.QueueOrder;
+import org.mangowall.policy.share.ShareLedger;
+
+/** What waits at one home for one service, by workspace. */
+final class WaitingQueue {
+
+    private final QueueOrder order;
+    private final ShareLedger ledger;
+    private final Map<WorkspaceName, TreeSet<HomeRequest>> waiting = new TreeMap<>();
+    private int size;
+
+    WaitingQueue(QueueOrder order, ShareLedger ledger) {
+        this.order = order;
+        this.ledger = ledger;
+    }
+
+    void add(HomeRequest request) {
+        boolean added = waiting.computeIfAbsent(
+                        request.description().workspace(), name -> new TreeSet<>(HomeRequest.BY_AGE))
+                .add(request);
+        size += added ? 1 : 0;
+    }
+
+    void remove(HomeRequest request) {
+        WorkspaceName workspace = request.description().workspace();
+        TreeSet<HomeRequest> line = waiting.get(workspace);
+        if (line == null || !line.remove(request)) {
+            return;
+        }
+        size--;
+        if (line.isEmpty()) {
+            waiting.remove(workspace);
+        }
+    }
+
+    int size() {
+        return size;
+    }
+
+    boolean isEmpty() {
+        return size == 0;
+    }
+
+    int sizeOf(WorkspaceName workspace) {
+        TreeSet<HomeRequest> line = waiting.get(workspace);
+        return line == null ? 0 : line.size();
+    }
+
+    Collection<WorkspaceName> workspaces() {
+        return waiting.keySet();
+    }
+
+    Map<WorkspaceName, Integer> sizes() {
+        Map<WorkspaceName, Integer> sizes = new HashMap<>();
+        waiting.forEach((workspace, line) -> sizes.put(workspace, line.size()));
+        return sizes;
+    }
+
+    /** The request to serve next; null when none waits. */
+    HomeRequest head() {
+        return order == QueueOrder.FAIR ? fairHead() : oldest();
+    }
+
+    private HomeRequest fairHead() {
+        HomeRequest head = null;
+        double smallest = Double.POSITIVE_INFINITY;
+        for (Map.Entry<WorkspaceName, TreeSet<HomeRequest>> line : waiting.entrySet()) {
+            double tag = ledger.tag(line.getKey());
+            if (head == null || tag < smallest) {
+                head = line.getValue().first();
+                smallest = tag;
+            }
+        }
+        return head;
+    }
+
+    private HomeRequest oldest() {
+        HomeRequest head = null;
+        for (TreeSet<HomeRequest> line : waiting.values()) {
+            HomeRequest candidate = line.first();
+            if (head == null || HomeRequest.BY_AGE.compare(candidate, head) < 0) {
+                head = candidate;
+            }
+        }
+        return head;
+    }
+
+    /** The smallest tag of a waiting workspace; infinity when none waits. */
+    double headTag() {
+        double smallest = Double.POSITIVE_INFINITY;
+        for (WorkspaceName workspace : waiting.keySet()) {
+            smallest = Math.min(smallest, ledger.tag(workspace));
+        }
+        return smallest;
+    }
+
+    /** All waiting requests of a workspace, the oldest first. */
+    List<HomeRequest> of(WorkspaceName workspace) {
+        TreeSet<HomeRequest> line = waiting.get(workspace);
+        return line == null ? List.of() : new ArrayList<>(line);
+    }
+
+    /** The requests that have waited since before an instant. */
+    List<HomeRequest> waitingSinceBefore(long instant) {
+        List<HomeRequest> found = new ArrayList<>();
+        for (TreeSet<HomeRequest> line : waiting.values()) {
+            for (HomeRequest request : line) {
+                if (request.waitingSince() >= instant) {
+                    break;
+                }
+                found.add(request);
+            }
+        }
+        return found;
+    }
+
+    /** All waiting requests. */
+    List<HomeRequest> all() {
+        List<HomeRequest> all = new ArrayList<>(size);
+        waiting.values().forEach(all::addAll);
+        return all;
+    }
+}
--- /dev/null
+++ b/mangowall-policy/src/main/java/org/mangowall/policy/plugin/LocalFairPolicy.java
@@ -0,0 +1,23 @@
+package org.mangowall.policy.plugin;
+
+import java.time.Clock;
+
+import org.mangowall.policy.DecisionCore;
+import org.mangowall.policy.RouterIdentity;
+import org.mangowall.policy.SchedulingPolicy;
+import org.mangowall.policy.core.FleetDecisionCore;
+import org.mangowall.policy.core.PolicyTraits;
+
+/** Fair shares at each home by itself, to compare with. */
+public final class LocalFairPolicy implements SchedulingPolicy {
+
+    @Override
+    public String pluginName() {
+        return "local-fair";
+    }
+
+    @Override
+    public DecisionCore create(RouterIdentity identity, Clock clock, long seed) {
+        return new FleetDecisionCore(identity, clock, seed, PolicyTraits.localFair());
+    }
+}
--- /dev/null
+++ b/mangowall-policy/src/main/java/org/mangowall/policy/plugin/RoundRobinPolicy.java
@@ -0,0 +1,23 @@
+package org.mangowall.policy.plugin;
+
+import java.time.Clock;
+
+import org.mangowall.policy.DecisionCore;
+import org.mangowall.policy.RouterIdentity;
+import org.mangowall.policy.SchedulingPolicy;
+import org.mangowall.policy.core.FleetDecisionCore;
+import org.mangowall.policy.core.PolicyTraits;
+
+/** Homes and runners in turn, to compare with. */
+public final class RoundRobinPolicy implements SchedulingPolicy {
+
+    @Override
+    public String pluginName() {
+        return "round-robin";
+    }
+
+    @Override
+    public DecisionCore create(RouterIdentity identity, Clock clock, long seed) {
+        return new FleetDecisionCore(identity, clock, seed, PolicyTraits.roundRobin());
+    }
+}
--- /dev/null
+++ b/mangowall-policy/src/main/java/org/mangowall/policy/plugin/package-info.java
@@ -0,0 +1,2 @@
+/** The scheduling policies that settings may choose. */
+package org.mangowall.policy.plugin;
