--- /dev/null
+++ b/mangowall-inventory/src/main/java/org/mangowall/inventory/checked/package-info.java
@@ -0,0 +1,2 @@
+/** Settings tables in TOML whose faults are collected and reported all at once. */
+package org.mangowall.inventory.checked;
