Add the inventory document: TOML for operators, JSON for the platform

All faults (references, duplicates, units, ranges, weights, addresses) are listed at once with file and dotted key. Export and reading back give the same document.

--- /dev/null
+++ b/mangowall-inventory/src/main/java/org/mangowall/inventory/document/InventoryDocument.java
@@ -0,0 +1,112 @@
+package org.mangowall.inventory.document;
+
+import java.nio.file.Path;
+import java.util.List;
+
+import org.mangowall.inventory.AvailabilityZone;
+import org.mangowall.inventory.Inventory;
+import org.mangowall.inventory.Runner;
+import org.mangowall.inventory.Service;
+import org.mangowall.inventory.Workspace;
+import org.mangowall.inventory.checked.CheckedTable;
+import org.mangowall.inventory.checked.SettingsException;
+import org.mangowall.kernel.name.ZoneName;
+
+/**
+ * The whole inventory as operators write it, checked, with the rules beside it.
+ *
+ * <p>The TOML of operators and the JSON in the platform have the same keys. Groups of runners are spread into single
+ * runners when the TOML is read.
+ *
+ * @param regions the regions with their availability zones
+ * @param services the services
+ * @param runners the runners, none of them marked as draining; the rules say which are
+ * @param workspaces the workspaces with their own weights
+ * @param rules what operators have changed on top
+ */
+public record InventoryDocument(
+        List<RegionEntry> regions,
+        List<Service> services,
+        List<Runner> runners,
+        List<Workspace> workspaces,
+        RuleSet rules) {
+
+    /** Copies the lists. */
+    public InventoryDocument {
+        regions = List.copyOf(regions);
+        services = List.copyOf(services);
+        runners = List.copyOf(runners);
+        workspaces = List.copyOf(workspaces);
+    }
+
+    /**
+     * Reads and checks a TOML file.
+     *
+     * @throws SettingsException with all faults
+     */
+    public static InventoryDocument readToml(Path file) {
+        return InventoryReader.read(CheckedTable.readToml(file));
+    }
+
+    /**
+     * Parses and checks TOML.
+     *
+     * @param source the name by which faults call the text
+     * @throws SettingsException with all faults
+     */
+    public static InventoryDocument parseToml(String source, String text) {
+        return InventoryReader.read(CheckedTable.parseToml(source, text));
+    }
+
+    /**
+     * Parses and checks JSON.
+     *
+     * @throws SettingsException with all faults
+     */
+    public static InventoryDocument parseJson(byte[] content) {
+        return InventoryReader.read(CheckedTable.parseJson("inventory", content));
+    }
+
+    /** Writes the JSON that the platform keeps; the same document always gives the same bytes. */
+    public byte[] toJson() {
+        return JsonInventoryWriter.write(this);
+    }
+
+    /** Writes the TOML that operators edit. */
+    public String toToml() {
+        return TomlInventoryWriter.write(this);
+    }
+
+    /** The same document with other rules. */
+    public InventoryDocument withRules(RuleSet other) {
+        return new InventoryDocument(regions, services, runners, workspaces, other);
+    }
+
+    /** Applies the rules. */
+    public Inventory toInventory(long version) {
+        Inventory.Builder builder = Inventory.builder(version);
+        for (RegionEntry region : regions) {
+            for (ZoneName zone : region.zones()) {
+                boolean closed = rules.closedZones().contains(zone);
+                builder.zone(new AvailabilityZone(zone, region.name(), closed));
+            }
+        }
+        services.forEach(builder::service);
+        runners.forEach(runner -> builder.runner(withDraining(runner)));
+        workspaces.forEach(workspace -> builder.workspace(withWeight(workspace)));
+        return builder.build();
+    }
+
+    private Runner withDraining(Runner runner) {
+        if (!rules.drainingRunners().contains(runner.name())) {
+            return runner;
+        }
+        return new Runner(
+                runner.name(), runner.service(), runner.zone(), runner.host(), runner.port(), runner.slots(), true);
+    }
+
+    private Workspace withWeight(Workspace workspace) {
+        double weight = rules.workspaceWeights().getOrDefault(workspace.name(), workspace.weight());
+        return new Workspace(workspace.name(), weight);
+    }
+}
