--- /dev/null
+++ b/mangowall-protocol/src/main/java/org/mangowall/protocol/FrameException.java
@@ -0,0 +1,18 @@
+package org.mangowall.protocol;
+
+import org.mangowall.kernel.failure.FailureCode;
+import org.mangowall.kernel.failure.MangowallException;
+
+/** A frame that can't be read; its code is {@link FailureCode#FRAME_INVALID}. */
+public final class FrameException extends MangowallException {
+
+    private static final long serialVersionUID = 1L;
+
+    FrameException(String detail) {
+        super(FailureCode.FRAME_INVALID, detail);
+    }
+
+    FrameException(String detail, Throwable cause) {
+        super(FailureCode.FRAME_INVALID, detail, cause);
+    }
+}
