--- a/mangowall-protocol/src/main/java/org/mangowall/protocol/MessageDecoder.java
+++ b/mangowall-protocol/src/main/java/org/mangowall/protocol/MessageDecoder.java
@@ -39,7 +39,7 @@
             case ANSWER_END -> new PeerMessage.AnswerEnd(values.request(), values.number());
             case REFUSAL_NOTICE -> new PeerMessage.RefusalNotice(values.request(), failureCode(), values.number());
             case EXCHANGE -> new PeerMessage.Exchange(values.exchange());
-            case PULL_REQUESTS -> new PeerMessage.PullRequests(values.service(), values.integer());
+            case PULL_REQUESTS -> new PeerMessage.PullRequests(values.service(), values.integer(), values.real());
             case COUNTERS_ASK -> readCountersAsk();
             case COUNTERS -> new PeerMessage.Counters(values.snapshot());
             case PROBE -> new PeerMessage.Probe(values.number(), values.number(), values.members());
--- a/mangowall-protocol/src/main/java/org/mangowall/protocol/MessageEncoder.java
+++ b/mangowall-protocol/src/main/java/org/mangowall/protocol/MessageEncoder.java
@@ -26,7 +26,8 @@
             case PeerMessage.RefusalNotice refusal ->
                 values.request(refusal.request()).text(refusal.code().code()).number(refusal.retryAfterMillis());
             case PeerMessage.Exchange exchange -> values.exchange(exchange.exchange());
-            case PeerMessage.PullRequests pull -> values.text(pull.service()).number(pull.slots());
+            case PeerMessage.PullRequests pull ->
+                values.text(pull.service()).number(pull.slots()).real(pull.belowTag());
             case PeerMessage.CountersAsk ask -> values.flag(true);
             case PeerMessage.Counters counters -> values.snapshot(counters.snapshot());
             case PeerMessage.Probe probe ->
--- a/mangowall-protocol/src/main/java/org/mangowall/protocol/ValueDecoder.java
+++ b/mangowall-protocol/src/main/java/org/mangowall/protocol/ValueDecoder.java
@@ -136,7 +136,7 @@
     }
 
     private WorkspaceShare share() throws IOException {
-        return new WorkspaceShare(workspace(), integer(), real(), real());
+        return new WorkspaceShare(workspace(), integer(), real(), real(), real());
     }
 
     CounterSnapshot snapshot() throws IOException {
@@ -144,7 +144,7 @@
     }
 
     private CounterSnapshot.OriginCharge charge() throws IOException {
-        return new CounterSnapshot.OriginCharge(router(), number(), workspace(), real(), real());
+        return new CounterSnapshot.OriginCharge(router(), number(), workspace(), real(), real(), real());
     }
 
     Optional<StoredAnswer> optionalAnswer() throws IOException {
--- a/mangowall-protocol/src/main/java/org/mangowall/protocol/ValueEncoder.java
+++ b/mangowall-protocol/src/main/java/org/mangowall/protocol/ValueEncoder.java
@@ -116,7 +116,11 @@
     }
 
     private void share(WorkspaceShare share) throws IOException {
-        text(share.workspace()).number(share.waiting()).real(share.charged()).real(share.lift());
+        text(share.workspace())
+                .number(share.waiting())
+                .real(share.charged())
+                .real(share.refunded())
+                .real(share.lift());
     }
 
     ValueEncoder snapshot(CounterSnapshot snapshot) throws IOException {
@@ -125,7 +129,7 @@
 
     private void charge(CounterSnapshot.OriginCharge charge) throws IOException {
         text(charge.origin()).number(charge.incarnation()).text(charge.workspace());
-        real(charge.charged()).real(charge.lift());
+        real(charge.charged()).real(charge.refunded()).real(charge.lift());
     }
 
     ValueEncoder optionalAnswer(Optional<StoredAnswer> answer) throws IOException {
