--- /dev/null
+++ b/mangowall-platform/src/main/java/org/mangowall/platform/http/HttpPlatformProvider.java
@@ -0,0 +1,19 @@
+package org.mangowall.platform.http;
+
+import org.mangowall.platform.PlatformClient;
+import org.mangowall.platform.PlatformProvider;
+import org.mangowall.platform.PlatformSettings;
+
+/** Opens clients that speak HTTP to the platform. */
+public final class HttpPlatformProvider implements PlatformProvider {
+
+    @Override
+    public String pluginName() {
+        return "http";
+    }
+
+    @Override
+    public PlatformClient open(PlatformSettings settings) {
+        return new HttpPlatformClient(settings);
+    }
+}
--- /dev/null
+++ b/mangowall-platform/src/main/java/org/mangowall/platform/http/package-info.java
@@ -0,0 +1,2 @@
+/** The platform's protocol over HTTP. */
+package org.mangowall.platform.http;
