--- a/mangowall-protocol/src/main/java/org/mangowall/protocol/MessageEncoder.java
+++ b/mangowall-protocol/src/main/java/org/mangowall/protocol/MessageEncoder.java
@@ -25,6 +25,9 @@
             case PeerMessage.AnswerEnd end -> values.request(end.request()).number(end.bodyBytes());
             case PeerMessage.RefusalNotice refusal ->
                 values.request(refusal.request()).text(refusal.code().code()).number(refusal.retryAfterMillis());
+            case PeerMessage.AnswerFlow flow -> values.request(flow.request()).flag(flow.held());
+            case PeerMessage.Heartbeat heartbeat ->
+                values.number(heartbeat.sequence()).flag(heartbeat.asks());
             case PeerMessage.Exchange exchange -> values.exchange(exchange.exchange());
             case PeerMessage.PullRequests pull ->
                 values.text(pull.service()).number(pull.slots()).real(pull.belowTag());
--- a/mangowall-protocol/src/main/java/org/mangowall/protocol/MessageType.java
+++ b/mangowall-protocol/src/main/java/org/mangowall/protocol/MessageType.java
@@ -39,7 +39,11 @@
     /** {@link PeerMessage.ClaimAnswer}. */
     CLAIM_ANSWER(18),
     /** {@link PeerMessage.ClaimSettled}. */
-    CLAIM_SETTLED(19);
+    CLAIM_SETTLED(19),
+    /** {@link PeerMessage.AnswerFlow}. */
+    ANSWER_FLOW(20),
+    /** {@link PeerMessage.Heartbeat}. */
+    HEARTBEAT(21);
 
     private static final MessageType[] BY_NUMBER = numbered();
 
@@ -65,7 +69,8 @@
     /** Whether the message carries callers' requests or answers; all others are control traffic. */
     public boolean isData() {
         return switch (this) {
-            case FORWARD_REQUEST, ANSWER_HEAD, ANSWER_BODY, ANSWER_END, REFUSAL_NOTICE, CANCEL_REQUEST -> true;
+            case FORWARD_REQUEST, CANCEL_REQUEST, ANSWER_HEAD, ANSWER_BODY, ANSWER_END, ANSWER_FLOW, REFUSAL_NOTICE ->
+                true;
             default -> false;
         };
     }
@@ -92,6 +97,8 @@
             case PeerMessage.ClaimAsk ask -> CLAIM_ASK;
             case PeerMessage.ClaimAnswer answer -> CLAIM_ANSWER;
             case PeerMessage.ClaimSettled settled -> CLAIM_SETTLED;
+            case PeerMessage.AnswerFlow flow -> ANSWER_FLOW;
+            case PeerMessage.Heartbeat heartbeat -> HEARTBEAT;
         };
     }
 
