--- a/mangowall-protocol/src/main/java/org/mangowall/protocol/ValueDecoder.java
+++ b/mangowall-protocol/src/main/java/org/mangowall/protocol/ValueDecoder.java
@@ -118,7 +118,7 @@
 
     RequestDescription description() throws IOException {
         return new RequestDescription(
-                request(), workspace(), service(), flag(), real(), number(), duration(), integer());
+                request(), workspace(), service(), flag(), real(), number(), duration(), integer(), flag());
     }
 
     List<HeaderField> headers() throws IOException {
--- a/mangowall-protocol/src/main/java/org/mangowall/protocol/ValueEncoder.java
+++ b/mangowall-protocol/src/main/java/org/mangowall/protocol/ValueEncoder.java
@@ -93,7 +93,8 @@
                 .real(description.costHint())
                 .number(description.prefixHash())
                 .duration(description.waited())
-                .number(description.moves());
+                .number(description.moves())
+                .flag(description.mayHaveRun());
     }
 
     ValueEncoder headers(List<HeaderField> headers) throws IOException {
