--- a/mangowall-policy/src/main/java/org/mangowall/policy/limit/LimitGrowth.java
+++ b/mangowall-policy/src/main/java/org/mangowall/policy/limit/LimitGrowth.java
@@ -3,7 +3,7 @@
 /** Slow start of one limit: it grows by a half each round that was borne, and falls back at signs of trouble. */
 final class LimitGrowth {
 
-    private static final long SHORTEST_ROUND_MILLISECONDS = 1_000;
+    private static final long SHORTEST_ROUND_MILLISECONDS = 2_000;
     private static final int GROWTH_DIVISOR = 2;
 
     private final boolean fixed;
