--- a/mangowall-benchmark/src/main/java/org/mangowall/benchmark/PolicyRun.java
+++ b/mangowall-benchmark/src/main/java/org/mangowall/benchmark/PolicyRun.java
@@ -22,6 +22,7 @@
     private static final double NANOSECONDS_PER_SECOND = 1e9;
     private static final double BYTES_PER_MEGABYTE = 1024.0 * 1024.0;
     private static final int MODEL_COST = 200;
+    private static final int QUEUE_LIMIT = 256;
 
     private final BenchmarkArguments arguments;
     private final String policy;
@@ -48,7 +49,8 @@
                 arguments.services(),
                 arguments.runners(),
                 arguments.slots(),
-                arguments.workspaces());
+                arguments.workspaces(),
+                QUEUE_LIMIT);
         FleetTiming timing = arguments.isModelLoad() ? FleetTiming.modelCalls() : FleetTiming.plainCalls();
         PolicyTraits traits = traits(policy).withExchangePeriod(Duration.ofMillis(arguments.periodMilliseconds()));
         this.fleet = new SimulatedFleet(shape, traits, ideal ? timing.withoutDelays() : timing, seed);
--- a/mangowall-benchmark/src/main/java/org/mangowall/benchmark/fleet/FleetShape.java
+++ b/mangowall-benchmark/src/main/java/org/mangowall/benchmark/fleet/FleetShape.java
@@ -28,11 +28,11 @@
  * @param runners the runners of each service, dealt out to the zones in turn
  * @param slots the slots of each runner
  * @param workspaces the workspaces, with weights 1 to 4 in turn
+ * @param queueLimit the requests of a workspace that may wait at one home
  */
-public record FleetShape(int zones, int routers, int services, int runners, int slots, int workspaces) {
+public record FleetShape(int zones, int routers, int services, int runners, int slots, int workspaces, int queueLimit) {
 
     private static final int WEIGHTS = 4;
-    private static final int QUEUE_LIMIT = 256;
     private static final int START_LIMIT = 2;
     private static final Duration QUEUE_TIMEOUT = Duration.ofMinutes(10);
     private static final Duration PROGRESS_TIMEOUT = Duration.ofSeconds(60);
@@ -93,7 +93,7 @@
                 service(index),
                 ServiceKind.MODEL,
                 START_LIMIT,
-                QUEUE_LIMIT,
+                queueLimit,
                 QUEUE_TIMEOUT,
                 PROGRESS_TIMEOUT,
                 PROGRESS_TIMEOUT,
--- a/mangowall-benchmark/src/main/java/org/mangowall/benchmark/fleet/SimulatedFleet.java
+++ b/mangowall-benchmark/src/main/java/org/mangowall/benchmark/fleet/SimulatedFleet.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BiPredicate;
 
 import org.apache.commons.rng.UniformRandomProvider;
@@ -37,6 +39,7 @@
     private static final long RUNNER_DELAY_MICROSECONDS = 300;
     private static final long FALL_PAUSE_MICROSECONDS = 2_000_000;
     private static final long PROGRESS_MICROSECONDS = 1_000_000;
+    private static final long BREAK_MICROSECONDS = 1_000_000;
     private static final long WARM_UP_MICROSECONDS = 10_000_000;
 
     private final EventLine line = new EventLine();
@@ -47,6 +50,7 @@
     private final Map<RouterName, Router> routers = new LinkedHashMap<>();
     private final Map<RunnerName, SimulatedRunner> runners = new LinkedHashMap<>();
     private final Map<RequestIdentifier, RequestRecord> requests = new LinkedHashMap<>();
+    private final Set<String> broken = new HashSet<>();
     private final Traffic traffic = new Traffic();
     private FleetListener listener = FleetListener.SILENT;
     private BiPredicate<RouterName, RouterName> lost = (from, to) -> false;
@@ -270,7 +274,8 @@
     }
 
     private void message(RouterName from, RouterName to, DecisionEvent event) {
-        if (lost.test(from, to)) {
+        if (lost.test(from, to) || routers.get(to).core == null) {
+            breakConnection(from, to);
             return;
         }
         long incarnation = routers.get(to).member.incarnation();
@@ -281,6 +286,24 @@
         });
     }
 
+    /** Both ends of a connection that loses a message find out a little later. */
+    private void breakConnection(RouterName from, RouterName to) {
+        if (!broken.add(from + " " + to)) {
+            return;
+        }
+        long fromIncarnation = routers.get(from).member.incarnation();
+        long toIncarnation = routers.get(to).member.incarnation();
+        line.after(BREAK_MICROSECONDS, () -> {
+            broken.remove(from + " " + to);
+            if (isAlive(from, fromIncarnation)) {
+                tell(from, new DecisionEvent.PeerLost(to, toIncarnation));
+            }
+            if (isAlive(to, toIncarnation)) {
+                tell(to, new DecisionEvent.PeerLost(from, fromIncarnation));
+            }
+        });
+    }
+
     private long delay(RouterName from, RouterName to) {
         return timing.between(
                 routers.get(from).member.zone(), routers.get(to).member.zone(), random);
@@ -376,7 +399,8 @@
 
     private void endAtCaller(RouterName home, RequestIdentifier identifier, boolean notRun) {
         RouterName entry = identifier.entry();
-        if (lost.test(home, entry)) {
+        if (lost.test(home, entry) || routers.get(entry).core == null) {
+            breakConnection(home, entry);
             return;
         }
         line.after(delay(home, entry), () -> {
@@ -384,6 +408,10 @@
                 return;
             }
             RequestRecord request = requests.get(identifier);
+            boolean late = request.ended() > 0 && !home.equals(entry);
+            if (late) {
+                return;
+            }
             request.end(notRun);
             tell(entry, new DecisionEvent.CallerAnswerEnded(identifier));
             listener.ended(request);
--- /dev/null
+++ b/mangowall-benchmark/src/test/java/org/mangowall/benchmark/fleet/InvariantLedger.java
@@ -0,0 +1,91 @@
+package org.mangowall.benchmark.fleet;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.mangowall.kernel.name.RequestIdentifier;
+import org.mangowall.kernel.name.RouterName;
+import org.mangowall.policy.DecisionStatus.RunnerStatus;
+import org.mangowall.policy.action.DecisionAction;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Checks at each action and at the end what must hold for every request and every limit. */
+final class InvariantLedger implements FleetListener {
+
+    private final SimulatedFleet fleet;
+    private final FleetListener next;
+    private final Map<RequestIdentifier, StringBuilder> histories = new HashMap<>();
+
+    InvariantLedger(SimulatedFleet fleet, FleetListener next) {
+        this.fleet = fleet;
+        this.next = next;
+    }
+
+    @Override
+    public void acted(RouterName router, DecisionAction action) {
+        remember(router, action);
+        if (!(action instanceof DecisionAction.SendToRunner send)) {
+            return;
+        }
+        for (RunnerStatus runner : fleet.core(router).status().runners()) {
+            if (runner.runner().equals(send.runner())) {
+                assertTrue(runner.running() <= runner.limit(), () -> router + " is beyond the limit of " + runner);
+            }
+        }
+    }
+
+    private void remember(RouterName router, DecisionAction action) {
+        RequestIdentifier identifier = switch (action) {
+            case DecisionAction.PassToHome pass -> pass.request().identifier();
+            case DecisionAction.SendToRunner send -> send.request().identifier();
+            case DecisionAction.ReleaseToEntry release -> release.request().identifier();
+            case DecisionAction.RefuseRequest refusal -> refusal.request();
+            case DecisionAction.CancelAtHome cancel -> cancel.request();
+            case DecisionAction.CancelAtRunner cancel -> cancel.request();
+            default -> null;
+        };
+        if (identifier != null) {
+            histories
+                    .computeIfAbsent(identifier, key -> new StringBuilder())
+                    .append(String.format("%n%d %s %s", fleet.line().now(), router, action));
+        }
+    }
+
+    @Override
+    public void sent(RequestRecord request) {
+        next.sent(request);
+    }
+
+    @Override
+    public void served(RequestRecord request) {
+        next.served(request);
+    }
+
+    @Override
+    public void ended(RequestRecord request) {
+        assertEquals(1, request.ended(), () -> request.description() + " ended twice");
+        if (request.isRefusedAsNotRun()) {
+            assertEquals(0, request.started(), () -> request.description() + " ran but was said not to have run");
+        }
+        next.ended(request);
+    }
+
+    /** Checks all requests after the fleet has come to rest. */
+    void checkAll() {
+        for (RequestRecord request : fleet.requests()) {
+            if (!request.description().repeatable()) {
+                assertTrue(request.started() <= 1, () -> request.description() + " ran more than once");
+            }
+            RequestIdentifier identifier = request.description().identifier();
+            boolean entryLives = fleet.members().stream()
+                    .anyMatch(member -> member.name().equals(identifier.entry())
+                            && member.incarnation() == identifier.incarnation()
+                            && fleet.core(member.name()) != null);
+            if (entryLives) {
+                assertEquals(1, request.ended(), () -> identifier + " has no end: " + histories.get(identifier));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/mangowall-benchmark/src/test/java/org/mangowall/benchmark/fleet/Transcript.java
@@ -0,0 +1,92 @@
+package org.mangowall.benchmark.fleet;
+
+import java.util.Locale;
+import java.util.TreeMap;
+
+import org.mangowall.kernel.name.RouterName;
+import org.mangowall.policy.action.DecisionAction;
+
+/** Writes down what the routers of a session decide. */
+final class Transcript implements FleetListener {
+
+    private static final double MICROSECONDS_PER_SECOND = 1e6;
+
+    private final SimulatedFleet fleet;
+    private final ClosedLoopCallers callers;
+    private final StringBuilder text = new StringBuilder();
+    private final TreeMap<String, Double> served = new TreeMap<>();
+
+    Transcript(SimulatedFleet fleet, ClosedLoopCallers callers) {
+        this.fleet = fleet;
+        this.callers = callers;
+    }
+
+    void note(String sentence) {
+        text.append(String.format(Locale.ROOT, "%8.3f ", fleet.line().now() / MICROSECONDS_PER_SECOND))
+                .append(sentence)
+                .append('\n');
+    }
+
+    @Override
+    public void acted(RouterName router, DecisionAction action) {
+        switch (action) {
+            case DecisionAction.PassToHome pass ->
+                note(router + " passes " + pass.request().identifier() + " to " + pass.home() + ", " + pass.reason());
+            case DecisionAction.SendToRunner send ->
+                note(router + " sends "
+                        + send.request().identifier() + " of " + send.request().workspace() + " to " + send.runner()
+                        + ", "
+                        + send.reason());
+            case DecisionAction.RefuseRequest refusal ->
+                note(router + " refuses " + refusal.request() + ", " + refusal.code() + ", retry after "
+                        + refusal.retryAfter());
+            case DecisionAction.ReleaseToEntry release ->
+                note(router + " releases "
+                        + release.request().identifier() + ", " + release.reason()
+                        + release.moveTo().map(target -> " to " + target).orElse(""));
+            case DecisionAction.SendPull pull ->
+                note(router + " pulls " + pull.slots() + " of " + pull.service() + " from " + pull.to());
+            case DecisionAction.CancelAtRunner cancel ->
+                note(router + " cancels " + cancel.request() + " at " + cancel.runner());
+            case DecisionAction.CancelAtHome cancel ->
+                note(router + " cancels " + cancel.request() + " at " + cancel.home());
+            case DecisionAction.SendExchange exchange -> {
+                // exchanges are many; their effect shows in the order of requests
+            }
+            case DecisionAction.AskCounters ask -> note(router + " asks " + ask.to() + " for counters");
+            case DecisionAction.SendCounters counters -> note(router + " sends counters to " + counters.to());
+        }
+    }
+
+    @Override
+    public void sent(RequestRecord request) {
+        callers.sent(request);
+    }
+
+    @Override
+    public void served(RequestRecord request) {
+        served.merge(request.description().workspace().value(), request.cost(), Double::sum);
+        callers.served(request);
+    }
+
+    @Override
+    public void ended(RequestRecord request) {
+        callers.ended(request);
+    }
+
+    /** The whole session, and the cost that each workspace was served. */
+    String text() {
+        StringBuilder whole = new StringBuilder(text);
+        served.forEach(
+                (workspace, cost) -> whole.append(String.format(Locale.ROOT, "served %s %.0f%n", workspace, cost)));
+        int overloads =
+                fleet.runners().stream().mapToInt(SimulatedRunner::overloads).sum();
+        int falls = fleet.runners().stream().mapToInt(SimulatedRunner::falls).sum();
+        whole.append("overloads ")
+                .append(overloads)
+                .append(", falls ")
+                .append(falls)
+                .append('\n');
+        return whole.toString();
+    }
+}
--- a/mangowall-policy/src/main/java/org/mangowall/policy/core/Accounting.java
+++ b/mangowall-policy/src/main/java/org/mangowall/policy/core/Accounting.java
@@ -21,7 +21,7 @@
         boolean waits = service.queue().sizeOf(workspace) > 0 || peers.waiting(service.name(), workspace) > 0;
         if (!waits) {
             double smallest = Math.min(service.queue().headTag(), peers.smallestHeadTag(service.name()));
-            double lag = GapBound.of(context, service, peers);
+            double lag = GapBound.lag(context, service, peers);
             service.ledger().arrive(workspace, smallest, lag, now);
         }
     }
--- a/mangowall-policy/src/main/java/org/mangowall/policy/core/CoreContext.java
+++ b/mangowall-policy/src/main/java/org/mangowall/policy/core/CoreContext.java
@@ -3,6 +3,8 @@
 import java.time.Clock;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -25,7 +27,8 @@
 /** What all roles of one decision core know and use together. */
 final class CoreContext {
 
-    private static final long UNCERTAINTY_MILLISECONDS = 60_000;
+    private static final long MINORITY_MILLISECONDS = 15_000;
+    private static final long UNCERTAIN_MILLISECONDS = 60_000;
     private static final double WEIGHT_OF_UNKNOWN = 1;
 
     private final RouterIdentity identity;
@@ -36,7 +39,8 @@
     private Inventory inventory = Inventory.builder(0).build();
     private FleetView view = FleetView.of(List.of());
     private HomeAssignment assignment;
-    private final Map<RouterName, Long> uncertainSince = new TreeMap<>();
+    private final Map<RouterName, Long> lostSince = new TreeMap<>();
+    private long takeOverAt = Long.MAX_VALUE;
     private boolean leaving;
 
     CoreContext(RouterIdentity identity, Clock clock, long seed, PolicyTraits traits) {
@@ -44,7 +48,7 @@
         this.clock = clock;
         this.traits = traits;
         this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
-        this.assignment = HomeAssignment.compute(inventory, view, identity, leaving);
+        assign();
     }
 
     RouterName self() {
@@ -105,10 +109,10 @@
     void install(FleetView newView) {
         view = newView;
         long now = now();
-        uncertainSince.keySet().removeIf(router -> !isUncertain(router));
+        lostSince.keySet().removeIf(router -> !isDead(router));
         for (FleetMember member : view.members().values()) {
-            if (isUncertain(member.name())) {
-                uncertainSince.putIfAbsent(member.name(), now);
+            if (isDead(member.name()) && !member.name().equals(identity.name())) {
+                lostSince.putIfAbsent(member.name(), now);
             }
         }
         assign();
@@ -119,19 +123,19 @@
         assign();
     }
 
-    private boolean isUncertain(RouterName router) {
+    private boolean isDead(RouterName router) {
         return view.member(router)
-                .map(member -> member.state() == MemberState.SUSPECT || member.state() == MemberState.DEAD)
+                .map(member -> member.state() == MemberState.DEAD)
                 .orElse(false);
     }
 
     /** Whether a router of the zone is out of sight and may yet be at work as home of its runners. */
     boolean isZoneUncertain(ZoneName zone) {
-        if (uncertainSince.isEmpty()) {
+        if (lostSince.isEmpty()) {
             return false;
         }
-        long horizon = now() - UNCERTAINTY_MILLISECONDS;
-        for (Map.Entry<RouterName, Long> entry : uncertainSince.entrySet()) {
+        long horizon = now() - UNCERTAIN_MILLISECONDS;
+        for (Map.Entry<RouterName, Long> entry : lostSince.entrySet()) {
             boolean recent = entry.getValue() > horizon;
             if (recent && view.member(entry.getKey()).orElseThrow().zone().equals(zone)) {
                 return true;
@@ -148,6 +152,29 @@
     }
 
     private void assign() {
-        assignment = HomeAssignment.compute(inventory, view, identity, leaving);
+        Collection<RouterName> unreachable = isMinority() ? lostSince.keySet() : List.of();
+        assignment = HomeAssignment.compute(inventory, view, identity, leaving, unreachable);
+        takeOverAt =
+                unreachable.isEmpty() ? Long.MAX_VALUE : Collections.max(lostSince.values()) + MINORITY_MILLISECONDS;
+    }
+
+    /** Whether this router has lost sight of most others a short while ago, and so is probably cut off itself. */
+    private boolean isMinority() {
+        long horizon = now() - MINORITY_MILLISECONDS;
+        long lostLately =
+                lostSince.values().stream().filter(since -> since > horizon).count();
+        long visible = view.members().values().stream()
+                .filter(member -> member.mayBeHome() && !member.name().equals(identity.name()))
+                .count();
+        return lostLately > visible + 1;
+    }
+
+    /** Assigns anew when the time has come to take over from routers that stay out of sight. */
+    boolean assignAfterWait() {
+        if (now() < takeOverAt) {
+            return false;
+        }
+        assign();
+        return true;
     }
 }
--- a/mangowall-policy/src/main/java/org/mangowall/policy/core/FleetDecisionCore.java
+++ b/mangowall-policy/src/main/java/org/mangowall/policy/core/FleetDecisionCore.java
@@ -115,6 +115,9 @@
     }
 
     private void tick() {
+        if (context.assignAfterWait()) {
+            reassign();
+        }
         home.expire();
         entry.tick();
         exchange.tick();
--- a/mangowall-policy/src/main/java/org/mangowall/policy/core/GapBound.java
+++ b/mangowall-policy/src/main/java/org/mangowall/policy/core/GapBound.java
@@ -12,14 +12,32 @@
 
     private GapBound() {}
 
-    /**
-     * The bound now: what is served while news is under way, the unknown cost of what runs, and one largest request.
-     */
+    /** The bound now: what is served while news is under way, the unknown cost of what runs, and one request each. */
     static double of(CoreContext context, ServiceState service, PeerBook peers) {
+        Backlog backlog = backlog(context, service, peers);
+        int slots = 0;
+        for (HomeCapacity home :
+                context.assignment().openHomesOf(service.name()).values()) {
+            slots += home.slots();
+        }
         ShareLedger ledger = service.ledger();
+        double staleness = context.traits().exchangePeriod().toMillis() / MILLISECONDS_PER_SECOND + DELAY_SECONDS;
+        double unseen = staleness * ledger.servedPerSecond(context.now());
+        double running = 2 * slots * ledger.largestCost() / backlog.weights();
+        return unseen + running + 2 * ledger.largestCost() / backlog.smallestWeight();
+    }
+
+    /** How far a workspace that was backlogged just now may lag behind: one largest request of each of a pair. */
+    static double lag(CoreContext context, ServiceState service, PeerBook peers) {
+        return 2
+                * service.ledger().largestCost()
+                / backlog(context, service, peers).smallestWeight();
+    }
+
+    private static Backlog backlog(CoreContext context, ServiceState service, PeerBook peers) {
         double smallestWeight = Double.POSITIVE_INFINITY;
         double weights = 0;
-        for (WorkspaceName workspace : ledger.workspaces()) {
+        for (WorkspaceName workspace : service.ledger().workspaces()) {
             boolean waits = service.queue().sizeOf(workspace) > 0 || peers.waiting(service.name(), workspace) > 0;
             if (waits) {
                 double weight = context.weight(workspace);
@@ -27,19 +45,9 @@
                 weights += weight;
             }
         }
-        if (weights == 0) {
-            smallestWeight = 1;
-            weights = 1;
-        }
-        int slots = 0;
-        for (HomeCapacity home :
-                context.assignment().openHomesOf(service.name()).values()) {
-            slots += home.slots();
-        }
-        double staleness = context.traits().exchangePeriod().toMillis() / MILLISECONDS_PER_SECOND + DELAY_SECONDS;
-        double largest = ledger.largestCost();
-        double unseen = staleness * ledger.costPerSecond(context.now()) / weights;
-        double running = 2 * slots * largest / Math.max(weights, slots * smallestWeight);
-        return unseen + running + 2 * largest / smallestWeight;
+        return weights == 0 ? new Backlog(1, 1) : new Backlog(weights, smallestWeight);
     }
+
+    /** The weights of the workspaces that wait. */
+    private record Backlog(double weights, double smallestWeight) {}
 }
--- a/mangowall-policy/src/main/java/org/mangowall/policy/core/HomeAssignment.java
+++ b/mangowall-policy/src/main/java/org/mangowall/policy/core/HomeAssignment.java
@@ -38,11 +38,24 @@
     private final Map<ServiceName, TreeSet<RouterName>> allHomes = new TreeMap<>();
     private final Map<RouterName, ZoneName> zoneOfRouter = new TreeMap<>();
 
+    private final TreeSet<RouterName> unreachable = new TreeSet<>();
+
     private HomeAssignment() {}
 
-    static HomeAssignment compute(Inventory inventory, FleetView view, RouterIdentity self, boolean selfLeaving) {
+    /**
+     * Assigns all runners of an inventory.
+     *
+     * @param unreachable routers out of sight that are taken to be home of their runners still
+     */
+    static HomeAssignment compute(
+            Inventory inventory,
+            FleetView view,
+            RouterIdentity self,
+            boolean selfLeaving,
+            Collection<RouterName> unreachable) {
         HomeAssignment assignment = new HomeAssignment();
-        Map<ZoneName, List<RouterName>> candidates = candidates(view, self, selfLeaving);
+        assignment.unreachable.addAll(unreachable);
+        Map<ZoneName, List<RouterName>> candidates = candidates(view, self, selfLeaving, unreachable);
         candidates.forEach((zone, routers) -> routers.forEach(router -> assignment.zoneOfRouter.put(router, zone)));
         for (Runner runner : inventory.runners().values()) {
             assignment.assign(inventory, runner, candidates);
@@ -51,10 +64,11 @@
     }
 
     private static Map<ZoneName, List<RouterName>> candidates(
-            FleetView view, RouterIdentity self, boolean selfLeaving) {
+            FleetView view, RouterIdentity self, boolean selfLeaving, Collection<RouterName> unreachable) {
         Map<ZoneName, List<RouterName>> byZone = new TreeMap<>();
         for (FleetMember member : view.members().values()) {
-            if (member.mayBeHome() && !member.name().equals(self.name())) {
+            boolean candidate = member.mayBeHome() || unreachable.contains(member.name());
+            if (candidate && !member.name().equals(self.name())) {
                 byZone.computeIfAbsent(member.zone(), zone -> new ArrayList<>()).add(member.name());
             }
         }
@@ -68,7 +82,7 @@
         RouterName home = choose(runner.name().value(), nearest(inventory, runner.zone(), candidates));
         homes.put(runner.name(), home);
         allHomes.computeIfAbsent(runner.service(), service -> new TreeSet<>()).add(home);
-        if (!inventory.isOpen(runner)) {
+        if (!inventory.isOpen(runner) || unreachable.contains(home)) {
             return;
         }
         openHomes
--- a/mangowall-policy/src/main/java/org/mangowall/policy/limit/LimitGrowth.java
+++ b/mangowall-policy/src/main/java/org/mangowall/policy/limit/LimitGrowth.java
@@ -7,6 +7,7 @@
     private static final int GROWTH_DIVISOR = 2;
 
     private final boolean fixed;
+    private final ColdRamp ramp = new ColdRamp();
     private int startLimit;
     private int slots;
     private int limit;
@@ -21,6 +22,7 @@
         this.slots = Math.max(1, slots);
         this.limit = fixed ? this.slots : this.startLimit;
         this.roundStart = now;
+        ramp.begin(now);
     }
 
     void configure(int newStartLimit, int newSlots) {
@@ -37,6 +39,16 @@
         return fixed;
     }
 
+    /** The runner's process is known to have been at work for long. */
+    void knownWarm() {
+        ramp.end();
+    }
+
+    /** The runner was found at work with so many requests of an earlier home, so it bears them. */
+    void seenRunning(int requests) {
+        limit = Math.max(limit, Math.min(slots, requests));
+    }
+
     /** A request completed in time; {@code used} ran at that moment, itself included. */
     void completed(long now, int used) {
         completedInRound++;
@@ -45,7 +57,8 @@
             return;
         }
         if (limitInUse && !lateInRound) {
-            limit = Math.min(slots, limit + Math.max(1, limit / GROWTH_DIVISOR));
+            int grown = Math.min(slots, limit + Math.max(1, limit / GROWTH_DIVISOR));
+            limit = Math.max(limit, Math.min(grown, ramp.cap(startLimit, slots, now)));
         }
         startRound(now);
     }
@@ -63,7 +76,14 @@
         startRound(now);
     }
 
+    /** Back to the start, for a runner that is probably cold. */
     void collapse(long now) {
+        ramp.begin(now);
+        backToStart(now);
+    }
+
+    /** Back to the start, for a runner of which nothing is known but that it is at work. */
+    void backToStart(long now) {
         if (fixed) {
             return;
         }
--- a/mangowall-policy/src/main/java/org/mangowall/policy/limit/RunnerLimit.java
+++ b/mangowall-policy/src/main/java/org/mangowall/policy/limit/RunnerLimit.java
@@ -13,20 +13,19 @@
 
     private static final long REPORT_WAIT_MILLISECONDS = 1_000;
     private static final long CONTEST_MILLISECONDS = 10_000;
+    private static final long KNOWN_WARM_MILLISECONDS = 120_000;
     private static final long FIRST_SUSPENSION_MILLISECONDS = 250;
     private static final long LARGEST_SUSPENSION_MILLISECONDS = 8_000;
 
     private final LimitGrowth growth;
     private final FirstProgressHistory firstProgress = new FirstProgressHistory();
+    private final ForeignLoad foreign = new ForeignLoad();
     private long acquiredAt;
     private int running;
-    private int mostRunningSinceReport;
-    private int foreignRunning;
-    private int reported;
-    private int sentSinceReport;
     private long startedAt;
     private long completedReported;
     private boolean reportSeen;
+    private boolean contested;
     private long suspendedUntil;
     private long suspension = FIRST_SUSPENSION_MILLISECONDS;
 
@@ -47,7 +46,8 @@
     public void acquire(long now) {
         acquiredAt = now;
         reportSeen = false;
-        growth.collapse(now);
+        foreign.forget();
+        growth.backToStart(now);
     }
 
     /** Takes over changed settings. */
@@ -67,29 +67,18 @@
         if (now < suspendedUntil || awaitsFirstReport(now)) {
             return 0;
         }
-        return Math.max(0, growth.limit() - used(homeUncertain || isContested(now)));
+        contested = homeUncertain || now - acquiredAt < CONTEST_MILLISECONDS;
+        return Math.max(0, foreign.room(growth.limit(), contested) - running);
     }
 
     private boolean awaitsFirstReport(long now) {
         return !reportSeen && now - acquiredAt < REPORT_WAIT_MILLISECONDS;
     }
 
-    private boolean isContested(long now) {
-        return now - acquiredAt < CONTEST_MILLISECONDS;
-    }
-
-    private int used(boolean contested) {
-        if (contested) {
-            return Math.max(running, reported + sentSinceReport);
-        }
-        return running + foreignRunning;
-    }
-
     /** A request is being sent. */
     public void sent() {
         running++;
-        sentSinceReport++;
-        mostRunningSinceReport = Math.max(mostRunningSinceReport, running);
+        foreign.observe(running);
     }
 
     /** The first progress of an answer came so many milliseconds after sending. */
@@ -106,13 +95,14 @@
 
     /** A request that was being sent has ended. */
     public void ended(long now, RunnerOutcome outcome) {
+        int used = running + foreign.estimate();
         switch (outcome) {
             case COMPLETED -> {
                 suspension = FIRST_SUSPENSION_MILLISECONDS;
-                growth.completed(now, running + foreignRunning);
+                growth.completed(now, used);
             }
             case REFUSED -> {
-                growth.refused(now, running + foreignRunning);
+                growth.refused(now, used);
                 suspendedUntil = Math.max(suspendedUntil, now + FIRST_SUSPENSION_MILLISECONDS);
             }
             case NOT_SENT, BROKEN -> {
@@ -125,6 +115,7 @@
             }
         }
         running = Math.max(0, running - 1);
+        foreign.observe(running);
     }
 
     private void suspend(long now) {
@@ -139,16 +130,19 @@
     public void reported(RunnerReport report, long now) {
         boolean restarted =
                 reportSeen && (report.startedAtMillis() != startedAt || report.completed() < completedReported);
+        boolean first = !reportSeen;
+        reportSeen = true;
+        startedAt = report.startedAtMillis();
+        completedReported = report.completed();
         if (restarted) {
             growth.collapse(now);
+        } else if (first && now - startedAt > KNOWN_WARM_MILLISECONDS) {
+            growth.knownWarm();
+        }
+        foreign.report(report.running(), running, contested);
+        if (first) {
+            growth.seenRunning(report.running());
         }
-        startedAt = report.startedAtMillis();
-        completedReported = report.completed();
-        reported = report.running();
-        foreignRunning = Math.max(0, report.running() - mostRunningSinceReport);
-        mostRunningSinceReport = running;
-        sentSinceReport = 0;
-        reportSeen = true;
     }
 
     /** Begins slow start again, for a runner that comes back to work. */
@@ -168,6 +162,6 @@
 
     /** The requests that it last reported. */
     public int reported() {
-        return reported;
+        return foreign.reported();
     }
 }
--- a/mangowall-policy/src/main/java/org/mangowall/policy/share/ServedRate.java
+++ b/mangowall-policy/src/main/java/org/mangowall/policy/share/ServedRate.java
@@ -1,6 +1,6 @@
 package org.mangowall.policy.share;
 
-/** The cost by weight served in a second, over windows of some seconds. */
+/** The cost by weight served in a second, over windows of at least some seconds. */
 final class ServedRate {
 
     private static final long WINDOW_MILLISECONDS = 4_000;
@@ -17,7 +17,7 @@
     double perSecond(long now) {
         long age = now - windowStart;
         if (age >= WINDOW_MILLISECONDS) {
-            previous = age < 2 * WINDOW_MILLISECONDS ? inWindow * MILLISECONDS_PER_SECOND / age : 0;
+            previous = inWindow * MILLISECONDS_PER_SECOND / age;
             inWindow = 0;
             windowStart = now;
         }
--- a/mangowall-policy/src/main/java/org/mangowall/policy/share/ShareLedger.java
+++ b/mangowall-policy/src/main/java/org/mangowall/policy/share/ShareLedger.java
@@ -71,8 +71,8 @@
         return serviceEstimate.largest();
     }
 
-    /** The cost that the fleet serves in a second, as far as known. */
-    public double costPerSecond(long now) {
+    /** The cost by weight that the fleet serves in a second, as far as known. */
+    public double servedPerSecond(long now) {
         return rate.perSecond(now);
     }
 
