Add stand-ins for the platform, model engines and plain services

Newcomers, tests and measurements need a platform and runners that fail on demand.

Resuming a stream is not imitated yet.

--- /dev/null
+++ b/mangowall-standin/src/main/java/org/mangowall/standin/engine/package-info.java
@@ -0,0 +1,2 @@
+/** A stand-in of a model engine. */
+package org.mangowall.standin.engine;
--- /dev/null
+++ b/mangowall-standin/src/main/java/org/mangowall/standin/http/SilenceGate.java
@@ -0,0 +1,35 @@
+package org.mangowall.standin.http;
+
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+import io.netty.util.ReferenceCountUtil;
+
+/** Once silent, drops everything that comes in or should go out while the connection stays open. */
+final class SilenceGate extends ChannelDuplexHandler {
+
+    private boolean silent;
+
+    void silence() {
+        silent = true;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        if (silent) {
+            ReferenceCountUtil.release(message);
+            return;
+        }
+        context.fireChannelRead(message);
+    }
+
+    @Override
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+        if (silent) {
+            ReferenceCountUtil.release(message);
+            promise.setSuccess();
+            return;
+        }
+        context.write(message, promise);
+    }
+}
--- /dev/null
+++ b/mangowall-standin/src/main/java/org/mangowall/standin/plain/package-info.java
@@ -0,0 +1,2 @@
+/** A stand-in of a plain service. */
+package org.mangowall.standin.plain;
--- /dev/null
+++ b/mangowall-standin/src/main/java/org/mangowall/standin/platform/ObjectStore.java
@@ -0,0 +1,52 @@
+package org.mangowall.standin.platform;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import org.mangowall.platform.ObjectName;
+import org.mangowall.platform.VersionedObject;
+
+/** Objects with versions, conditional updates and watches; used by one thread. */
+final class ObjectStore {
+
+    private final Map<ObjectName, VersionedObject> objects = new HashMap<>();
+    private final Map<ObjectName, List<Consumer<VersionedObject>>> watchers = new HashMap<>();
+
+    Optional<VersionedObject> read(ObjectName name) {
+        return Optional.ofNullable(objects.get(name));
+    }
+
+    long version(ObjectName name) {
+        return read(name).map(VersionedObject::version).orElse(0L);
+    }
+
+    /** Writes and tells the watchers when the present version is the expected one; says whether it was. */
+    boolean write(ObjectName name, long expectedVersion, byte[] content) {
+        if (version(name) != expectedVersion) {
+            return false;
+        }
+        VersionedObject written = new VersionedObject(expectedVersion + 1, content);
+        objects.put(name, written);
+        List<Consumer<VersionedObject>> waiting = watchers.remove(name);
+        if (waiting != null) {
+            waiting.forEach(watcher -> watcher.accept(written));
+        }
+        return true;
+    }
+
+    /** Keeps a watcher that is told once of the next write. */
+    void watch(ObjectName name, Consumer<VersionedObject> watcher) {
+        watchers.computeIfAbsent(name, key -> new ArrayList<>()).add(watcher);
+    }
+
+    void unwatch(ObjectName name, Consumer<VersionedObject> watcher) {
+        List<Consumer<VersionedObject>> waiting = watchers.get(name);
+        if (waiting != null) {
+            waiting.remove(watcher);
+        }
+    }
+}
--- /dev/null
+++ b/mangowall-standin/src/main/java/org/mangowall/standin/platform/TokenBucket.java
@@ -0,0 +1,37 @@
+package org.mangowall.standin.platform;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+
+/** A rate limit that allows bursts of one second's worth of calls. */
+final class TokenBucket {
+
+    private final Clock clock;
+    private final double callsPerSecond;
+    private double tokens;
+    private Instant filledAt;
+
+    TokenBucket(Clock clock, double callsPerSecond) {
+        this.clock = clock;
+        this.callsPerSecond = callsPerSecond;
+        this.tokens = callsPerSecond;
+        this.filledAt = clock.instant();
+    }
+
+    boolean tryTake() {
+        refill();
+        if (tokens < 1) {
+            return false;
+        }
+        tokens -= 1;
+        return true;
+    }
+
+    private void refill() {
+        Instant now = clock.instant();
+        double elapsedSeconds = Duration.between(filledAt, now).toNanos() / 1e9;
+        tokens = Math.min(callsPerSecond, tokens + elapsedSeconds * callsPerSecond);
+        filledAt = now;
+    }
+}
--- /dev/null
+++ b/mangowall-standin/src/test/java/org/mangowall/standin/HttpProbe.java
@@ -0,0 +1,41 @@
+package org.mangowall.standin;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.concurrent.CompletableFuture;
+
+/** Sends calls to stand-ins. */
+public final class HttpProbe {
+
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final String base;
+
+    /** Calls the port on loopback. */
+    public HttpProbe(int port) {
+        this.base = "http://127.0.0.1:" + port;
+    }
+
+    /** Sends a call and waits for the answer. */
+    public HttpResponse<String> call(String method, String target, String body, String... headers)
+            throws IOException, InterruptedException {
+        return client.send(request(method, target, body, headers), HttpResponse.BodyHandlers.ofString());
+    }
+
+    /** Sends a call. */
+    public CompletableFuture<HttpResponse<String>> begin(String method, String target, String body, String... headers) {
+        return client.sendAsync(request(method, target, body, headers), HttpResponse.BodyHandlers.ofString());
+    }
+
+    private HttpRequest request(String method, String target, String body, String... headers) {
+        HttpRequest.Builder builder = HttpRequest.newBuilder(URI.create(base + target))
+                .method(method, HttpRequest.BodyPublishers.ofString(body));
+        if (headers.length > 0) {
+            builder.headers(headers);
+        }
+        return builder.build();
+    }
+}
--- /dev/null
+++ b/mangowall-standin/src/test/java/org/mangowall/standin/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the model engine stand-in. */
+package org.mangowall.standin.engine;
--- /dev/null
+++ b/mangowall-standin/src/test/java/org/mangowall/standin/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the stand-ins. */
+package org.mangowall.standin;
--- /dev/null
+++ b/mangowall-standin/src/test/java/org/mangowall/standin/plain/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the plain service stand-in. */
+package org.mangowall.standin.plain;
--- /dev/null
+++ b/mangowall-standin/src/test/java/org/mangowall/standin/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the platform stand-in. */
+package org.mangowall.standin.platform;
