--- /dev/null
+++ b/mangowall-command/src/main/java/org/mangowall/command/CommandLine.java
@@ -0,0 +1,106 @@
+package org.mangowall.command;
+
+import java.io.PrintStream;
+import java.time.Clock;
+import java.util.Map;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.ParameterException;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.mangowall.command.client.OperatorClient;
+import org.mangowall.command.output.ExitCode;
+import org.mangowall.command.output.Json;
+import org.mangowall.command.output.OutputFormat;
+import org.mangowall.command.output.Report;
+import org.mangowall.kernel.failure.FailureCode;
+import org.mangowall.kernel.failure.MangowallException;
+import org.mangowall.kernel.plugin.PluginRegistry;
+
+/** One run of the command line: reads the words, runs the subcommand, prints its report. */
+public final class CommandLine {
+
+    private final PrintStream output;
+    private final PrintStream errors;
+    private final Clock clock;
+    private final Runnable pause;
+
+    /** Creates a command line that prints to the given streams and waits by the given means. */
+    public CommandLine(PrintStream output, PrintStream errors, Clock clock, Runnable pause) {
+        this.output = output;
+        this.errors = errors;
+        this.clock = clock;
+        this.pause = pause;
+    }
+
+    /** Runs the words that an operator typed and gives the exit code of the process. */
+    public ExitCode run(String... words) {
+        Map<String, Subcommand> subcommands = loadSubcommands();
+        ClientOptions globalOptions = new ClientOptions();
+        JCommander parser = CommandHelp.parser(globalOptions, subcommands);
+        try {
+            parser.parse(words);
+        } catch (ParameterException unreadable) {
+            return failed(OutputFormat.TEXT, FailureCode.USAGE, unreadable.getMessage());
+        }
+        Subcommand subcommand = subcommands.get(parser.getParsedCommand());
+        if (globalOptions.help() || subcommand != null && subcommand.options().help()) {
+            output.println(CommandHelp.text(parser, subcommand));
+            return ExitCode.DONE;
+        }
+        if (subcommand == null) {
+            return failed(OutputFormat.TEXT, FailureCode.USAGE, "no subcommand is given");
+        }
+        return run(subcommand);
+    }
+
+    private static Map<String, Subcommand> loadSubcommands() {
+        PluginRegistry<Subcommand> registry = PluginRegistry.load(Subcommand.class);
+        return CommandHelp.inOrderOfHelp(registry);
+    }
+
+    private ExitCode run(Subcommand subcommand) {
+        OutputFormat format = OutputFormat.TEXT;
+        try {
+            ClientSettings settings = ClientSettingsReader.read(subcommand.options());
+            format = settings.output();
+            return print(format, run(subcommand, settings));
+        } catch (MangowallException failure) {
+            return failed(format, failure.failureCode(), failure.getMessage());
+        } catch (RuntimeException fault) {
+            return failed(format, FailureCode.INTERNAL, "a fault in the program: " + fault);
+        }
+    }
+
+    private Report run(Subcommand subcommand, ClientSettings settings) {
+        try (OperatorClient client = new OperatorClient(settings.routers(), settings.timeout(), settings.tokenFile())) {
+            return subcommand.run(new CommandContext(client, clock, pause));
+        }
+    }
+
+    private ExitCode print(OutputFormat format, Report report) {
+        String text = switch (format) {
+            case TEXT -> report.text();
+            case JSON -> Json.print(report.json());
+        };
+        output.println(text);
+        return report.exitCode();
+    }
+
+    private ExitCode failed(OutputFormat format, FailureCode code, String detail) {
+        if (format == OutputFormat.TEXT) {
+            printFailure(code, detail);
+            return ExitCode.of(code);
+        }
+        ObjectNode node = Json.object();
+        node.putObject("failure").put("code", code.code()).put("detail", detail);
+        output.println(Json.print(node));
+        return ExitCode.of(code);
+    }
+
+    private void printFailure(FailureCode code, String detail) {
+        errors.println("mangowall: " + code.code() + ": " + detail);
+        if (code == FailureCode.USAGE) {
+            errors.println("Try mangowall --help.");
+        }
+    }
+}
--- /dev/null
+++ b/mangowall-command/src/main/java/org/mangowall/command/client/package-info.java
@@ -0,0 +1,2 @@
+/** Calls to the operator ports of routers, with fail-over between them. */
+package org.mangowall.command.client;
--- /dev/null
+++ b/mangowall-command/src/main/java/org/mangowall/command/output/OutputFormat.java
@@ -0,0 +1,9 @@
+package org.mangowall.command.output;
+
+/** How a report is printed. */
+public enum OutputFormat {
+    /** Sentences and tables for people. */
+    TEXT,
+    /** One JSON document for programs. */
+    JSON
+}
--- /dev/null
+++ b/mangowall-command/src/main/java/org/mangowall/command/output/package-info.java
@@ -0,0 +1,2 @@
+/** Reports in text and JSON. */
+package org.mangowall.command.output;
--- /dev/null
+++ b/mangowall-command/src/main/java/org/mangowall/command/subcommand/StatusCommand.java
@@ -0,0 +1,71 @@
+package org.mangowall.command.subcommand;
+
+import java.util.List;
+import java.util.Optional;
+
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import org.mangowall.command.ClientOptions;
+import org.mangowall.command.CommandContext;
+import org.mangowall.command.Subcommand;
+import org.mangowall.command.client.RouterStatus;
+import org.mangowall.command.output.ExitCode;
+import org.mangowall.command.output.Report;
+import org.mangowall.command.status.FleetStatus;
+import org.mangowall.command.status.FleetStatusJson;
+import org.mangowall.command.status.FleetStatusText;
+import org.mangowall.inventory.Inventory;
+import org.mangowall.kernel.failure.MangowallException;
+
+/** Shows the fleet as all named routers see it together. */
+@Parameters(commandDescription = "Show routers, availability zones, runners, services and workspaces")
+public final class StatusCommand implements Subcommand {
+
+    @ParametersDelegate
+    private final ClientOptions options = new ClientOptions();
+
+    @Override
+    public String pluginName() {
+        return "status";
+    }
+
+    @Override
+    public ClientOptions options() {
+        return options;
+    }
+
+    @Override
+    public List<String> examples() {
+        return List.of(
+                "mangowall status --settings mangowall.toml",
+                "mangowall status --routers 127.0.0.1:19301 --output json");
+    }
+
+    @Override
+    public Report run(CommandContext context) {
+        List<RouterStatus> answers = context.client().status();
+        boolean anyAnswered = answers.stream().anyMatch(RouterStatus.Answered.class::isInstance);
+        FleetStatus fleet = FleetStatus.of(answers, anyAnswered ? readInventory(context) : Optional.empty());
+        ExitCode exitCode = anyAnswered ? ExitCode.DONE : exitCodeOf(answers);
+        return new Report(exitCode, FleetStatusText.write(fleet), FleetStatusJson.write(fleet));
+    }
+
+    private static ExitCode exitCodeOf(List<RouterStatus> answers) {
+        return switch (answers.getFirst()) {
+            case RouterStatus.Answered answered -> ExitCode.DONE;
+            case RouterStatus.Silent silent ->
+                switch (silent.failure().failureCode()) {
+                    case NOT_AUTHENTICATED -> ExitCode.REFUSED;
+                    default -> ExitCode.UNREACHABLE;
+                };
+        };
+    }
+
+    private static Optional<Inventory> readInventory(CommandContext context) {
+        try {
+            return context.client().configuration().document().map(document -> document.toInventory(0));
+        } catch (MangowallException unreadable) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/mangowall-command/src/main/java/org/mangowall/command/subcommand/VersionCommand.java
@@ -0,0 +1,44 @@
+package org.mangowall.command.subcommand;
+
+import java.util.List;
+import java.util.Objects;
+
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import org.mangowall.command.ClientOptions;
+import org.mangowall.command.CommandContext;
+import org.mangowall.command.Subcommand;
+import org.mangowall.command.output.Json;
+import org.mangowall.command.output.Report;
+
+/** Tells the version of the program. */
+@Parameters(commandDescription = "Print the version of this program")
+public final class VersionCommand implements Subcommand {
+
+    private static final String VERSION_OF_UNPACKED_BUILD = "development";
+
+    @ParametersDelegate
+    private final ClientOptions options = new ClientOptions();
+
+    @Override
+    public String pluginName() {
+        return "version";
+    }
+
+    @Override
+    public ClientOptions options() {
+        return options;
+    }
+
+    @Override
+    public List<String> examples() {
+        return List.of("mangowall version");
+    }
+
+    @Override
+    public Report run(CommandContext context) {
+        String version = Objects.requireNonNullElse(
+                VersionCommand.class.getPackage().getImplementationVersion(), VERSION_OF_UNPACKED_BUILD);
+        return Report.done("mangowall " + version, Json.object().put("version", version));
+    }
+}
--- /dev/null
+++ b/mangowall-command/src/main/java/org/mangowall/command/subcommand/WorkspaceCommand.java
@@ -0,0 +1,75 @@
+package org.mangowall.command.subcommand;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import org.mangowall.command.ClientOptions;
+import org.mangowall.command.CommandContext;
+import org.mangowall.command.Subcommand;
+import org.mangowall.command.output.Report;
+import org.mangowall.inventory.document.InventoryDocument;
+import org.mangowall.kernel.name.WorkspaceName;
+
+/** Sets the weights of workspaces. */
+@Parameters(commandDescription = "Set the weight of a workspace; it goes before the weight in the inventory")
+public final class WorkspaceCommand implements Subcommand {
+
+    private static final int WORDS = 3;
+
+    @ParametersDelegate
+    private final ClientOptions options = new ClientOptions();
+
+    @ParametersDelegate
+    private final WaitOption wait = new WaitOption();
+
+    @Parameter(description = "weight WORKSPACE NUMBER", required = true)
+    private List<String> words = new ArrayList<>();
+
+    @Override
+    public String pluginName() {
+        return "workspace";
+    }
+
+    @Override
+    public ClientOptions options() {
+        return options;
+    }
+
+    @Override
+    public List<String> examples() {
+        return List.of("mangowall workspace weight bureau-auray 2.5 --settings mangowall.toml");
+    }
+
+    @Override
+    public Report run(CommandContext context) {
+        if (words.size() != WORDS || !words.getFirst().equals("weight")) {
+            throw RuleChange.usage("write workspace weight WORKSPACE NUMBER");
+        }
+        WorkspaceName name = new WorkspaceName(words.get(1));
+        double weight = parseWeight(words.getLast());
+        return RuleChange.run(context, wait.duration(), document -> change(document, name, weight));
+    }
+
+    private static double parseWeight(String text) {
+        double weight;
+        try {
+            weight = Double.parseDouble(text);
+        } catch (NumberFormatException failure) {
+            weight = Double.NaN;
+        }
+        if (!(weight >= InventoryDocument.MINIMUM_WEIGHT && weight <= InventoryDocument.MAXIMUM_WEIGHT)) {
+            throw RuleChange.usage("a weight is a number from " + InventoryDocument.MINIMUM_WEIGHT + " to "
+                    + InventoryDocument.MAXIMUM_WEIGHT + ", not '" + text + "'");
+        }
+        return weight;
+    }
+
+    private static InventoryDocument change(InventoryDocument document, WorkspaceName name, double weight) {
+        boolean known = document.toInventory(0).workspaces().containsKey(name);
+        RuleChange.requireKnown(known, "workspace", name);
+        return document.withRules(document.rules().withWeight(name, weight));
+    }
+}
--- /dev/null
+++ b/mangowall-command/src/main/java/org/mangowall/command/subcommand/package-info.java
@@ -0,0 +1,2 @@
+/** The subcommands; each registers itself as a plug-in. */
+package org.mangowall.command.subcommand;
--- a/mangowall-inventory/src/main/java/org/mangowall/inventory/document/InventoryDocument.java
+++ b/mangowall-inventory/src/main/java/org/mangowall/inventory/document/InventoryDocument.java
@@ -31,6 +31,12 @@
         List<Workspace> workspaces,
         RuleSet rules) {
 
+    /** The least weight of a workspace. */
+    public static final double MINIMUM_WEIGHT = 0.001;
+
+    /** The largest weight of a workspace. */
+    public static final double MAXIMUM_WEIGHT = 1000;
+
     /** Copies the lists. */
     public InventoryDocument {
         regions = List.copyOf(regions);
--- a/mangowall-inventory/src/main/java/org/mangowall/inventory/document/InventoryReader.java
+++ b/mangowall-inventory/src/main/java/org/mangowall/inventory/document/InventoryReader.java
@@ -26,12 +26,6 @@
 /** Reads an inventory from a table and notes all faults; used for one document only. */
 final class InventoryReader {
 
-    /** The least weight of a workspace. */
-    static final double MINIMUM_WEIGHT = 0.001;
-
-    /** The largest weight of a workspace. */
-    static final double MAXIMUM_WEIGHT = 1000;
-
     private static final String NAME_SHAPE = "a name: 1 to 63 of a-z, 0-9, '.', '-', '_', first a letter or digit";
     private static final int MAXIMUM_START_LIMIT_REQUESTS = 10_000;
     private static final int MAXIMUM_QUEUE_REQUESTS = 100_000;
@@ -153,7 +147,7 @@
     private Optional<Workspace> readWorkspace(CheckedTable table) {
         Optional<WorkspaceName> name = name(table, "name", WorkspaceName::new);
         name.ifPresent(value -> names.claim(table, "name", "workspace", value));
-        double weight = table.number("weight", MINIMUM_WEIGHT, MAXIMUM_WEIGHT, 1);
+        double weight = table.number("weight", InventoryDocument.MINIMUM_WEIGHT, InventoryDocument.MAXIMUM_WEIGHT, 1);
         return name.map(value -> new Workspace(value, weight));
     }
 
@@ -171,7 +165,8 @@
         SortedMap<WorkspaceName, Double> weights = new TreeMap<>();
         CheckedTable weightTable = table.table("workspace_weights");
         for (String key : weightTable.keys()) {
-            double weight = weightTable.number(key, MINIMUM_WEIGHT, MAXIMUM_WEIGHT, 1);
+            double weight =
+                    weightTable.number(key, InventoryDocument.MINIMUM_WEIGHT, InventoryDocument.MAXIMUM_WEIGHT, 1);
             reference(weightTable, key, "workspace", key, WorkspaceName::new)
                     .ifPresent(workspace -> weights.put(workspace, weight));
         }
--- a/mangowall-kernel/src/main/java/org/mangowall/kernel/failure/FailureCode.java
+++ b/mangowall-kernel/src/main/java/org/mangowall/kernel/failure/FailureCode.java
@@ -1,5 +1,8 @@
 package org.mangowall.kernel.failure;
 
+import java.util.Arrays;
+import java.util.Optional;
+
 import static org.mangowall.kernel.failure.RequestOutcome.NOT_RUN;
 import static org.mangowall.kernel.failure.RequestOutcome.UNKNOWN;
 
@@ -82,6 +85,8 @@
     PLUGIN_UNKNOWN("plugin-unknown", 400, NOT_RUN),
     /** An address can't be bound. */
     ADDRESS_UNUSABLE("address-unusable", 500, NOT_RUN),
+    /** None of the routers that an operator named can be reached. */
+    ROUTERS_UNREACHABLE("routers-unreachable", 503, NOT_RUN),
     /** A command line can't be understood. */
     USAGE("usage", 400, NOT_RUN),
     /** A fault in the program. */
@@ -97,6 +102,11 @@
         this.outcome = outcome;
     }
 
+    /** Finds a failure by its stable code. */
+    public static Optional<FailureCode> ofCode(String code) {
+        return Arrays.stream(values()).filter(value -> value.code.equals(code)).findFirst();
+    }
+
     /** The stable code, in lower case with dashes. */
     public String code() {
         return code;
