--- /dev/null
+++ b/mangowall-router/src/main/java/org/mangowall/router/caller/CallerExchange.java
@@ -0,0 +1,153 @@
+package org.mangowall.router.caller;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import org.mangowall.kernel.failure.RequestOutcome;
+import org.mangowall.protocol.HeaderField;
+
+/** Writes one answer to a caller; confined to the thread of the caller's connection. */
+public final class CallerExchange {
+
+    static final String REQUEST_HEADER = "x-mangowall-request";
+    static final String OUTCOME_HEADER = "x-mangowall-outcome";
+    static final String RUNNER_HEADER = "x-mangowall-runner";
+
+    private static final String EVENT_STREAM = "text/event-stream";
+
+    private final Channel channel;
+    private final Runnable afterAnswer;
+    private final boolean canChunk;
+    private boolean keepAlive;
+    private boolean headWritten;
+    private boolean eventStream;
+    private boolean ended;
+
+    CallerExchange(Channel channel, HttpRequest request, Runnable afterAnswer) {
+        this.channel = channel;
+        this.afterAnswer = afterAnswer;
+        this.canChunk = request.protocolVersion().isKeepAliveDefault();
+        this.keepAlive = HttpUtil.isKeepAlive(request);
+    }
+
+    Channel channel() {
+        return channel;
+    }
+
+    boolean isHeadWritten() {
+        return headWritten;
+    }
+
+    void closeAfterAnswer() {
+        keepAlive = false;
+    }
+
+    /** Begins a runner's answer. */
+    void head(String requestIdentifier, String runner, int status, List<HeaderField> headers) {
+        HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+        HttpHeaders fields = response.headers();
+        for (HeaderField header : headers) {
+            fields.add(header.name(), header.value());
+        }
+        boolean lengthKnown = fields.contains(HttpHeaderNames.CONTENT_LENGTH);
+        if (!lengthKnown && canChunk && mayHaveBody(status)) {
+            HttpUtil.setTransferEncodingChunked(response, true);
+        }
+        if (!lengthKnown && !canChunk) {
+            keepAlive = false;
+        }
+        fields.set(REQUEST_HEADER, requestIdentifier);
+        fields.set(OUTCOME_HEADER, RequestOutcome.COMPLETE.text());
+        fields.set(RUNNER_HEADER, runner);
+        HttpUtil.setKeepAlive(fields, HttpVersion.HTTP_1_1, keepAlive);
+        eventStream = fields.get(HttpHeaderNames.CONTENT_TYPE, "").startsWith(EVENT_STREAM);
+        headWritten = true;
+        channel.writeAndFlush(response);
+    }
+
+    private static boolean mayHaveBody(int status) {
+        return status != HttpResponseStatus.NO_CONTENT.code() && status != HttpResponseStatus.NOT_MODIFIED.code();
+    }
+
+    /** Passes a piece of the body. */
+    void body(byte[] bytes) {
+        channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
+    }
+
+    /** Ends a whole answer. */
+    void end() {
+        finish(LastHttpContent.EMPTY_LAST_CONTENT);
+    }
+
+    /** Answers with a failure, or cuts an answer that has begun so that the caller can see it. */
+    void fail(Problem problem) {
+        if (headWritten) {
+            cut(problem);
+            return;
+        }
+        document(problem.code().httpStatus(), Problem.MEDIA_TYPE, problem.toJson(), problem);
+    }
+
+    /** Answers with a whole document of the router itself. */
+    void document(int status, String mediaType, byte[] bytes, Problem problem) {
+        FullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(bytes));
+        HttpHeaders fields = response.headers();
+        fields.set(HttpHeaderNames.CONTENT_TYPE, mediaType);
+        fields.set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
+        if (problem != null) {
+            fields.set(OUTCOME_HEADER, problem.code().outcome().text());
+            problem.request().ifPresent(identifier -> fields.set(REQUEST_HEADER, identifier));
+            if (problem.retryAfterSeconds() > 0) {
+                fields.set(HttpHeaderNames.RETRY_AFTER, problem.retryAfterSeconds());
+            }
+        }
+        HttpUtil.setKeepAlive(fields, HttpVersion.HTTP_1_1, keepAlive);
+        headWritten = true;
+        finish(response);
+    }
+
+    private void cut(Problem problem) {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        keepAlive = false;
+        ByteBuf last = Unpooled.EMPTY_BUFFER;
+        if (eventStream) {
+            String event = "event: error\ndata: " + new String(problem.toJson(), StandardCharsets.UTF_8) + "\n\n";
+            last = Unpooled.copiedBuffer(event, StandardCharsets.UTF_8);
+        }
+        channel.writeAndFlush(new DefaultHttpContent(last)).addListener(ChannelFutureListener.CLOSE);
+        afterAnswer.run();
+    }
+
+    private void finish(Object lastPart) {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        channel.writeAndFlush(lastPart).addListener(written -> {
+            if (!keepAlive) {
+                channel.close();
+            }
+        });
+        afterAnswer.run();
+    }
+}
--- /dev/null
+++ b/mangowall-router/src/main/java/org/mangowall/router/home/HomeDesk.java
@@ -0,0 +1,242 @@
+package org.mangowall.router.home;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
+
+import org.mangowall.inventory.Inventory;
+import org.mangowall.inventory.Runner;
+import org.mangowall.inventory.Service;
+import org.mangowall.kernel.failure.FailureCode;
+import org.mangowall.kernel.name.RequestIdentifier;
+import org.mangowall.kernel.name.RunnerName;
+import org.mangowall.policy.ReleaseReason;
+import org.mangowall.policy.RequestDescription;
+import org.mangowall.policy.RunnerOutcome;
+import org.mangowall.policy.event.DecisionEvent;
+import org.mangowall.protocol.MessageType;
+import org.mangowall.protocol.PeerMessage;
+import org.mangowall.router.caller.EntryDesk;
+import org.mangowall.router.caller.EntryRequest;
+import org.mangowall.router.decision.DecisionSink;
+import org.mangowall.router.metrics.RouterMetrics;
+import org.mangowall.router.peer.PeerConnection;
+import org.mangowall.router.runner.AnswerSink;
+import org.mangowall.router.runner.RequestContent;
+import org.mangowall.router.runner.RunnerCall;
+import org.mangowall.router.runner.RunnerCallListener;
+import org.mangowall.router.runner.RunnerClient;
+
+/** Keeps the requests of which this router is home, and their tries at runners. */
+public final class HomeDesk {
+
+    private final EntryDesk entryDesk;
+    private final RunnerClient runnerClient;
+    private final DecisionSink decisions;
+    private final RouterMetrics metrics;
+    private final Supplier<Inventory> inventory;
+    private final Map<RequestIdentifier, RemoteRequest> remoteRequests = new ConcurrentHashMap<>();
+    private final Map<RequestIdentifier, RunnerCall> calls = new ConcurrentHashMap<>();
+
+    private record RemoteRequest(RequestContent content, PeerConnection connection, RemoteAnswer answer) {}
+
+    /** Creates an empty desk. */
+    public HomeDesk(
+            EntryDesk entryDesk,
+            RunnerClient runnerClient,
+            DecisionSink decisions,
+            RouterMetrics metrics,
+            Supplier<Inventory> inventory) {
+        this.entryDesk = entryDesk;
+        this.runnerClient = runnerClient;
+        this.decisions = decisions;
+        this.metrics = metrics;
+        this.inventory = inventory;
+    }
+
+    /** The requests of other entries that are open here. */
+    public int openRequests() {
+        return remoteRequests.size();
+    }
+
+    /** An entry router passed on a request. */
+    public void forwarded(PeerConnection connection, PeerMessage.ForwardRequest message) {
+        RequestIdentifier identifier = message.description().identifier();
+        RequestContent content =
+                new RequestContent(message.method(), message.path(), message.headers(), message.body());
+        RemoteAnswer answer = new RemoteAnswer(identifier, connection);
+        if (remoteRequests.putIfAbsent(identifier, new RemoteRequest(content, connection, answer)) != null) {
+            metrics.lateFrame(MessageType.FORWARD_REQUEST);
+            return;
+        }
+        connection.requestOpened();
+        if (!decisions.offer(new DecisionEvent.RequestPassed(message.description()))) {
+            refuse(identifier, FailureCode.ROUTER_BUSY, Duration.ofSeconds(1));
+        }
+    }
+
+    /** The entry router does not want the request any more. */
+    public void cancelled(PeerConnection connection, PeerMessage.CancelRequest message) {
+        RemoteRequest request = remoteRequests.get(message.request());
+        if (request == null || request.connection() != connection) {
+            metrics.lateFrame(MessageType.CANCEL_REQUEST);
+            return;
+        }
+        abandon(message.request());
+    }
+
+    private void abandon(RequestIdentifier identifier) {
+        decisions.post(new DecisionEvent.RequestCancelled(identifier));
+        forget(identifier);
+    }
+
+    /** The entry router's caller reads slowly, or goes on. */
+    public void held(PeerConnection connection, PeerMessage.AnswerFlow message) {
+        RemoteRequest request = remoteRequests.get(message.request());
+        RunnerCall call = calls.get(message.request());
+        if (request == null || request.connection() != connection) {
+            metrics.lateFrame(MessageType.ANSWER_FLOW);
+            return;
+        }
+        request.answer().setHeld(message.held());
+        if (call != null) {
+            call.resumeIfReady();
+        }
+    }
+
+    /** A connection takes data again. */
+    public void writabilityChanged(PeerConnection connection) {
+        if (!connection.isWritable()) {
+            return;
+        }
+        remoteRequests.forEach((identifier, request) -> {
+            RunnerCall call = calls.get(identifier);
+            if (request.connection() == connection && call != null) {
+                call.resumeIfReady();
+            }
+        });
+    }
+
+    /** A connection is gone; nobody waits for the answers of its requests any more. */
+    public void disconnected(PeerConnection connection) {
+        remoteRequests.forEach((identifier, request) -> {
+            if (request.connection() == connection) {
+                abandon(identifier);
+            }
+        });
+    }
+
+    /** Sends a request to a runner, or says at once that this can't be done. */
+    public void sendToRunner(RequestDescription description, RunnerName runnerName) {
+        RequestIdentifier identifier = description.identifier();
+        Optional<Runner> runner = inventory.get().runner(runnerName);
+        Optional<Service> service = inventory.get().service(description.service());
+        if (runner.isEmpty() || service.isEmpty()) {
+            decisions.post(new DecisionEvent.AnswerEnded(identifier, RunnerOutcome.NOT_SENT, 0));
+            return;
+        }
+        RemoteRequest remote = remoteRequests.get(identifier);
+        EntryRequest local = entryDesk.find(identifier);
+        if (remote != null) {
+            call(runner.get(), service.get(), description, remote.content(), remote.answer());
+        } else if (local != null) {
+            callForLocal(runner.get(), service.get(), description, local);
+        } else {
+            decisions.post(new DecisionEvent.AnswerEnded(identifier, RunnerOutcome.CANCELLED, 0));
+        }
+    }
+
+    private void callForLocal(Runner runner, Service service, RequestDescription description, EntryRequest local) {
+        RequestContent content = local.content();
+        if (content == null) {
+            decisions.post(new DecisionEvent.AnswerEnded(description.identifier(), RunnerOutcome.CANCELLED, 0));
+            return;
+        }
+        LocalAnswer answer = new LocalAnswer(local);
+        local.bind(answer);
+        answer.setCall(call(runner, service, description, content, answer));
+    }
+
+    private RunnerCall call(
+            Runner runner, Service service, RequestDescription description, RequestContent content, AnswerSink sink) {
+        CallEvents events = new CallEvents(description);
+        RunnerCall call = runnerClient.send(runner, service, description, content, sink, events);
+        events.started(call);
+        return call;
+    }
+
+    /** Stops a request at its runner. */
+    public void cancelAtRunner(RequestIdentifier request) {
+        RunnerCall call = calls.get(request);
+        if (call != null) {
+            call.cancel();
+        }
+    }
+
+    /** Gives a request back to its entry. */
+    public void release(RequestDescription description, ReleaseReason reason, Optional<org.mangowall.kernel.name.RouterName> moveTo) {
+        RemoteRequest request = forget(description.identifier());
+        if (request != null) {
+            request.connection().send(new PeerMessage.ReleaseRequest(description, reason, moveTo));
+        }
+    }
+
+    /** Ends a request of another entry with a failure. */
+    public void refuse(RequestIdentifier identifier, FailureCode code, Duration retryAfter) {
+        RemoteRequest request = forget(identifier);
+        if (request != null) {
+            request.connection().send(new PeerMessage.RefusalNotice(identifier, code, retryAfter.toMillis()));
+        }
+    }
+
+    private RemoteRequest forget(RequestIdentifier identifier) {
+        RemoteRequest request = remoteRequests.remove(identifier);
+        if (request != null) {
+            request.connection().requestClosed();
+        }
+        return request;
+    }
+
+    /** Turns what happens at a runner into events. */
+    private final class CallEvents implements RunnerCallListener {
+
+        private final RequestDescription description;
+        private boolean ended;
+
+        CallEvents(RequestDescription description) {
+            this.description = description;
+        }
+
+        synchronized void started(RunnerCall call) {
+            if (!ended) {
+                calls.put(description.identifier(), call);
+            }
+        }
+
+        @Override
+        public void began() {
+            decisions.post(new DecisionEvent.AnswerBegan(description.identifier()));
+        }
+
+        @Override
+        public void progressed(double costSoFar) {
+            decisions.offer(new DecisionEvent.AnswerProgressed(description.identifier(), costSoFar));
+        }
+
+        @Override
+        public void ended(RunnerOutcome outcome, double cost) {
+            RequestIdentifier identifier = description.identifier();
+            synchronized (this) {
+                ended = true;
+                calls.remove(identifier);
+            }
+            metrics.runnerTryEnded(description.service().value(), outcome.name().toLowerCase(java.util.Locale.ROOT));
+            if (outcome == RunnerOutcome.COMPLETED || outcome == RunnerOutcome.CANCELLED) {
+                forget(identifier);
+            }
+            decisions.post(new DecisionEvent.AnswerEnded(identifier, outcome, cost));
+        }
+    }
+}
--- /dev/null
+++ b/mangowall-router/src/main/java/org/mangowall/router/home/LocalAnswer.java
@@ -0,0 +1,54 @@
+package org.mangowall.router.home;
+
+import java.util.List;
+
+import org.mangowall.kernel.name.RequestIdentifier;
+import org.mangowall.kernel.name.RunnerName;
+import org.mangowall.protocol.HeaderField;
+import org.mangowall.router.caller.EntryRequest;
+import org.mangowall.router.runner.AnswerOrigin;
+import org.mangowall.router.runner.AnswerSink;
+import org.mangowall.router.runner.RunnerCall;
+
+/** Passes an answer to a caller of this router. */
+final class LocalAnswer implements AnswerSink, AnswerOrigin {
+
+    private final EntryRequest entry;
+    private volatile RunnerCall call;
+
+    LocalAnswer(EntryRequest entry) {
+        this.entry = entry;
+    }
+
+    void setCall(RunnerCall runnerCall) {
+        call = runnerCall;
+    }
+
+    @Override
+    public void head(RunnerName runner, int status, List<HeaderField> headers) {
+        entry.answerHead(this, runner, status, headers);
+    }
+
+    @Override
+    public void body(byte[] bytes) {
+        entry.answerBody(this, bytes);
+    }
+
+    @Override
+    public void end(long bodyBytes) {
+        entry.answerEnd(this, bodyBytes);
+    }
+
+    @Override
+    public boolean isReady() {
+        return entry.isWritable();
+    }
+
+    @Override
+    public void hold(RequestIdentifier request, boolean held) {
+        RunnerCall running = call;
+        if (running != null && !held) {
+            running.resumeIfReady();
+        }
+    }
+}
--- /dev/null
+++ b/mangowall-router/src/main/java/org/mangowall/router/home/RemoteAnswer.java
@@ -0,0 +1,47 @@
+package org.mangowall.router.home;
+
+import java.util.List;
+
+import org.mangowall.kernel.name.RequestIdentifier;
+import org.mangowall.kernel.name.RunnerName;
+import org.mangowall.protocol.HeaderField;
+import org.mangowall.protocol.PeerMessage;
+import org.mangowall.router.peer.PeerConnection;
+import org.mangowall.router.runner.AnswerSink;
+
+/** Passes an answer to the entry router of its request, on the connection on which the request came. */
+final class RemoteAnswer implements AnswerSink {
+
+    private final RequestIdentifier request;
+    private final PeerConnection connection;
+    private volatile boolean held;
+
+    RemoteAnswer(RequestIdentifier request, PeerConnection connection) {
+        this.request = request;
+        this.connection = connection;
+    }
+
+    void setHeld(boolean isHeld) {
+        held = isHeld;
+    }
+
+    @Override
+    public void head(RunnerName runner, int status, List<HeaderField> headers) {
+        connection.send(new PeerMessage.AnswerHead(request, runner, status, headers));
+    }
+
+    @Override
+    public void body(byte[] bytes) {
+        connection.send(new PeerMessage.AnswerBody(request, bytes));
+    }
+
+    @Override
+    public void end(long bodyBytes) {
+        connection.send(new PeerMessage.AnswerEnd(request, bodyBytes));
+    }
+
+    @Override
+    public boolean isReady() {
+        return !held && connection.isWritable();
+    }
+}
--- /dev/null
+++ b/mangowall-router/src/main/java/org/mangowall/router/metrics/RouterMetrics.java
@@ -0,0 +1,106 @@
+package org.mangowall.router.metrics;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.mangowall.protocol.MessageType;
+
+/** The counters of one router; each router in a JVM has its own registry. */
+public final class RouterMetrics {
+
+    private static final double[] LATENCY_BUCKETS_SECONDS = {
+        0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 1.5, 2.5, 5, 10, 30
+    };
+
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final Counter requests =
+            counter("mangowall_requests", "Requests by how they ended for the caller", "service", "outcome", "code");
+    private final Histogram firstByteSeconds = Histogram.builder()
+            .name("mangowall_first_byte_seconds")
+            .help("Time from the whole request to the first byte of its answer")
+            .labelNames("service")
+            .classicOnly()
+            .classicUpperBounds(LATENCY_BUCKETS_SECONDS)
+            .register(registry);
+    private final Counter runnerTries =
+            counter("mangowall_runner_tries", "Tries of requests at runners by how they ended", "service", "outcome");
+    private final Counter peerBytes =
+            counter("mangowall_peer_bytes", "Bytes between routers, frame lengths included", "direction", "type");
+    private final Counter peerFrames = counter("mangowall_peer_frames", "Frames between routers", "direction", "type");
+    private final Counter lateFrames =
+            counter("mangowall_late_frames_dropped", "Frames dropped because they were late or crossed", "type");
+    private final Counter invalidFrames =
+            counter("mangowall_invalid_frames", "Frames that ended their connection", "reason");
+    private final Counter ringRefusals = counter("mangowall_ring_refusals", "Events refused by a full ring", "duty");
+    private final Counter silentConnections =
+            counter("mangowall_silent_connections", "Connections closed because they were silent", "side");
+
+    private Counter counter(String name, String help, String... labels) {
+        return Counter.builder().name(name).help(help).labelNames(labels).register(registry);
+    }
+
+    /** The registry with all metrics of the router. */
+    public PrometheusRegistry registry() {
+        return registry;
+    }
+
+    /** A request ended for its caller. */
+    public void requestEnded(String service, String outcome, String code) {
+        requests.labelValues(service, outcome, code).inc();
+    }
+
+    /** The first byte of an answer went to the caller. */
+    public void firstByte(String service, double seconds) {
+        firstByteSeconds.labelValues(service).observe(seconds);
+    }
+
+    /** A try at a runner ended. */
+    public void runnerTryEnded(String service, String outcome) {
+        runnerTries.labelValues(service, outcome).inc();
+    }
+
+    /** A frame went out. */
+    public void frameSent(MessageType type, int bytes) {
+        countFrame("out", type, bytes);
+    }
+
+    /** A frame came in. */
+    public void frameReceived(MessageType type, int bytes) {
+        countFrame("in", type, bytes);
+    }
+
+    private void countFrame(String direction, MessageType type, int bytes) {
+        String typeName = typeName(type);
+        peerBytes.labelValues(direction, typeName).inc(bytes);
+        peerFrames.labelValues(direction, typeName).inc();
+    }
+
+    /** A frame came too late, or on another connection than it should. */
+    public void lateFrame(MessageType type) {
+        lateFrames.labelValues(typeName(type)).inc();
+    }
+
+    /** How many frames of a type were dropped as late. */
+    public long lateFrames(MessageType type) {
+        return (long) lateFrames.labelValues(typeName(type)).get();
+    }
+
+    /** A connection between routers was closed because of what came on it. */
+    public void invalidFrame(String reason) {
+        invalidFrames.labelValues(reason).inc();
+    }
+
+    /** A full ring refused an event. */
+    public void ringRefused(String duty) {
+        ringRefusals.labelValues(duty).inc();
+    }
+
+    /** A silent connection was closed. */
+    public void silentConnection(String side) {
+        silentConnections.labelValues(side).inc();
+    }
+
+    private static String typeName(MessageType type) {
+        return type.name().toLowerCase(java.util.Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/mangowall-router/src/main/java/org/mangowall/router/peer/PeerFrameHandler.java
@@ -0,0 +1,181 @@
+package org.mangowall.router.peer;
+
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.timeout.IdleStateEvent;
+import org.mangowall.kernel.log.PartLog;
+import org.mangowall.protocol.FrameException;
+import org.mangowall.protocol.MessageType;
+import org.mangowall.protocol.PeerFrame;
+import org.mangowall.protocol.PeerFrameCodec;
+import org.mangowall.protocol.PeerMessage;
+import org.mangowall.router.PeerSettings;
+import org.mangowall.router.metrics.RouterMetrics;
+
+/** Greets, checks and dispatches the frames of one connection, and closes it when it has gone silent. */
+final class PeerFrameHandler extends SimpleChannelInboundHandler<ByteBuf> {
+
+    private static final PartLog LOG = PartLog.of("peer");
+
+    private final PeerConnection connection;
+    private final PeerMessage.Hello ownHello;
+    private final PeerSettings settings;
+    private final PeerListener listener;
+    private final RouterMetrics metrics;
+    private int silentPeriods;
+    private long heartbeatSequence;
+
+    PeerFrameHandler(
+            PeerConnection connection,
+            PeerMessage.Hello ownHello,
+            PeerSettings settings,
+            PeerListener listener,
+            RouterMetrics metrics) {
+        this.connection = connection;
+        this.ownHello = ownHello;
+        this.settings = settings;
+        this.listener = listener;
+        this.metrics = metrics;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        if (connection.isOpener()) {
+            connection.send(ownHello);
+        }
+        context.executor()
+                .schedule(
+                        () -> closeWithoutHello(context),
+                        settings.connectTimeout().toMillis(),
+                        TimeUnit.MILLISECONDS);
+        context.fireChannelActive();
+    }
+
+    private void closeWithoutHello(ChannelHandlerContext context) {
+        if (connection.remote() == null && context.channel().isActive()) {
+            reject(context, "no-hello");
+        }
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, ByteBuf buffer) {
+        byte[] bytes = new byte[buffer.readableBytes()];
+        buffer.readBytes(bytes);
+        silentPeriods = 0;
+        PeerFrame frame = PeerFrameCodec.decode(bytes);
+        MessageType type = MessageType.of(frame.message());
+        metrics.frameReceived(type, bytes.length + PeerFrameCodec.LENGTH_BYTES);
+        if (connection.remote() == null) {
+            greet(context, frame);
+            return;
+        }
+        if (frame.connectionEpoch() != connection.epoch()) {
+            metrics.lateFrame(type);
+            return;
+        }
+        dispatch(context, frame.message());
+    }
+
+    private void greet(ChannelHandlerContext context, PeerFrame frame) {
+        if (!(frame.message() instanceof PeerMessage.Hello hello)) {
+            reject(context, "no-hello");
+            return;
+        }
+        if (hello.protocolVersion() != PeerFrameCodec.PROTOCOL_VERSION) {
+            reject(context, "protocol-version");
+            return;
+        }
+        if (connection.isOpener() && frame.connectionEpoch() != connection.epoch()) {
+            reject(context, "connection-epoch");
+            return;
+        }
+        connection.accept(hello, frame.connectionEpoch());
+        if (!connection.isOpener()) {
+            connection.send(ownHello);
+        }
+        listener.connected(connection);
+    }
+
+    private void dispatch(ChannelHandlerContext context, PeerMessage message) {
+        if (message instanceof PeerMessage.Heartbeat heartbeat) {
+            answerHeartbeat(heartbeat);
+            return;
+        }
+        if (message instanceof PeerMessage.Hello) {
+            reject(context, "second-hello");
+            return;
+        }
+        listener.received(connection, message);
+    }
+
+    private void answerHeartbeat(PeerMessage.Heartbeat heartbeat) {
+        if (heartbeat.asks()) {
+            connection.send(new PeerMessage.Heartbeat(heartbeat.sequence(), false));
+        }
+    }
+
+    private void reject(ChannelHandlerContext context, String reason) {
+        metrics.invalidFrame(reason);
+        LOG.warn("closed the connection with %s: %s", connection, reason);
+        context.close();
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof IdleStateEvent) {
+            checkSilence(context);
+        }
+    }
+
+    private void checkSilence(ChannelHandlerContext context) {
+        silentPeriods++;
+        if (connection.openRequests() > 0) {
+            askForLife(context);
+            return;
+        }
+        long idleMillis = settings.heartbeatPeriod().toMillis() * silentPeriods;
+        if (idleMillis >= settings.idleTimeout().toMillis()) {
+            context.close();
+        }
+    }
+
+    private void askForLife(ChannelHandlerContext context) {
+        if (silentPeriods > settings.missedHeartbeats()) {
+            metrics.silentConnection("peer");
+            LOG.warn("closed the silent connection with %s", connection);
+            context.close();
+            return;
+        }
+        heartbeatSequence++;
+        connection.send(new PeerMessage.Heartbeat(heartbeatSequence, true));
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (connection.remote() != null) {
+            listener.writabilityChanged(connection);
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        listener.disconnected(connection);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable failure) {
+        if (failure instanceof FrameException || failure instanceof TooLongFrameException) {
+            reject(context, "frame-invalid");
+            return;
+        }
+        if (!(failure instanceof IOException)) {
+            LOG.error(failure, "the connection with %s failed", connection);
+        }
+        context.close();
+    }
+}
--- /dev/null
+++ b/mangowall-router/src/main/java/org/mangowall/router/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Connections between routers: MessagePack frames over TCP. */
+package org.mangowall.router.peer;
--- /dev/null
+++ b/mangowall-router/src/main/java/org/mangowall/router/runner/DocumentCostMeter.java
@@ -0,0 +1,96 @@
+package org.mangowall.router.runner;
+
+import java.io.IOException;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.async.ByteArrayFeeder;
+import com.fasterxml.jackson.core.async.NonBlockingInputFeeder;
+import org.mangowall.inventory.Service;
+
+/** Reads a JSON document as it passes, without keeping it, and finds its usage object. */
+final class DocumentCostMeter implements CostMeter {
+
+    private static final JsonFactory FACTORY = new JsonFactory();
+    private static final int USAGE_DEPTH = 2;
+
+    private final Service service;
+    private final JsonParser parser;
+    private boolean readable = true;
+    private boolean insideUsage;
+    private int depth;
+    private String fieldName = "";
+    private long promptTokens;
+    private long outputTokens;
+
+    DocumentCostMeter(Service service) {
+        this.service = service;
+        this.parser = newParser();
+    }
+
+    private static JsonParser newParser() {
+        try {
+            return FACTORY.createNonBlockingByteArrayParser();
+        } catch (IOException failure) {
+            throw new java.io.UncheckedIOException(failure);
+        }
+    }
+
+    @Override
+    public void accept(byte[] bytes) {
+        if (!readable) {
+            return;
+        }
+        try {
+            NonBlockingInputFeeder feeder = parser.getNonBlockingInputFeeder();
+            ((ByteArrayFeeder) feeder).feedInput(bytes, 0, bytes.length);
+            JsonToken token = parser.nextToken();
+            while (token != null && token != JsonToken.NOT_AVAILABLE) {
+                take(token);
+                token = parser.nextToken();
+            }
+        } catch (IOException failure) {
+            readable = false;
+        }
+    }
+
+    private void take(JsonToken token) throws IOException {
+        switch (token) {
+            case START_OBJECT, START_ARRAY -> {
+                depth++;
+                insideUsage |= depth == USAGE_DEPTH && token == JsonToken.START_OBJECT && fieldName.equals("usage");
+            }
+            case END_OBJECT, END_ARRAY -> {
+                insideUsage &= depth != USAGE_DEPTH;
+                depth--;
+            }
+            case FIELD_NAME -> fieldName = parser.currentName();
+            case VALUE_NUMBER_INT -> takeNumber();
+            default -> {
+                // Other values say nothing of the cost.
+            }
+        }
+    }
+
+    private void takeNumber() throws IOException {
+        if (!insideUsage || depth != USAGE_DEPTH) {
+            return;
+        }
+        if (fieldName.equals("prompt_tokens")) {
+            promptTokens = Math.max(0, parser.getLongValue());
+        } else if (fieldName.equals("completion_tokens")) {
+            outputTokens = Math.max(0, parser.getLongValue());
+        }
+    }
+
+    @Override
+    public double cost() {
+        return new TokenUsage(promptTokens, outputTokens).cost(service);
+    }
+
+    @Override
+    public boolean isWhole() {
+        return true;
+    }
+}
--- /dev/null
+++ b/mangowall-router/src/main/java/org/mangowall/router/runner/LoadPoller.java
@@ -0,0 +1,104 @@
+package org.mangowall.router.runner;
+
+import java.io.IOException;
+import java.time.Clock;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.function.Supplier;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.asynchttpclient.Response;
+import org.mangowall.inventory.Inventory;
+import org.mangowall.inventory.Runner;
+import org.mangowall.kernel.name.RunnerName;
+import org.mangowall.policy.DecisionStatus;
+import org.mangowall.policy.RunnerReport;
+import org.mangowall.policy.event.DecisionEvent;
+import org.mangowall.router.RunnerSettings;
+import org.mangowall.router.decision.DecisionSink;
+
+/** Asks the runners of which this router is home for their load; confined to one thread. */
+public final class LoadPoller {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int STATUS_OK = 200;
+
+    private final RunnerSettings settings;
+    private final RunnerClient client;
+    private final Clock clock;
+    private final Supplier<DecisionStatus> status;
+    private final Supplier<Inventory> inventory;
+    private final DecisionSink decisions;
+    private final SplittableRandom random;
+    private Map<RunnerName, Long> nextPollMillis = new HashMap<>();
+
+    /** Creates a poller that asks nothing until its first {@link #poll}. */
+    public LoadPoller(
+            RunnerSettings settings,
+            RunnerClient client,
+            Clock clock,
+            Supplier<DecisionStatus> status,
+            Supplier<Inventory> inventory,
+            DecisionSink decisions,
+            long seed) {
+        this.settings = settings;
+        this.client = client;
+        this.clock = clock;
+        this.status = status;
+        this.inventory = inventory;
+        this.decisions = decisions;
+        this.random = new SplittableRandom(seed);
+    }
+
+    /** Asks every runner whose time has come. */
+    public void poll() {
+        long now = clock.millis();
+        Map<RunnerName, Long> next = new HashMap<>();
+        for (DecisionStatus.RunnerStatus runner : status.get().runners()) {
+            long due = nextPollMillis.getOrDefault(runner.runner(), now);
+            if (now >= due) {
+                inventory.get().runner(runner.runner()).ifPresent(this::ask);
+                due = now + jitteredPeriodMillis();
+            }
+            next.put(runner.runner(), due);
+        }
+        nextPollMillis = next;
+    }
+
+    private long jitteredPeriodMillis() {
+        long period = settings.loadPollPeriod().toMillis();
+        return period - period / 8 + random.nextLong(period / 4 + 1);
+    }
+
+    private void ask(Runner runner) {
+        client.pooledClient()
+                .prepareGet("http://" + RunnerClient.authority(runner) + "/load")
+                .setRequestTimeout(settings.loadTimeout())
+                .execute()
+                .toCompletableFuture()
+                .thenAccept(response -> parse(runner.name(), response)
+                        .ifPresent(report -> decisions.offer(new DecisionEvent.RunnerReported(report))));
+    }
+
+    private static Optional<RunnerReport> parse(RunnerName runner, Response response) {
+        if (response.getStatusCode() != STATUS_OK) {
+            return Optional.empty();
+        }
+        try {
+            JsonNode report = MAPPER.readTree(response.getResponseBodyAsBytes());
+            if (!report.path("running").isIntegralNumber()) {
+                return Optional.empty();
+            }
+            return Optional.of(new RunnerReport(
+                    runner,
+                    report.path("started_at_millis").asLong(),
+                    Math.max(0, report.path("running").asInt()),
+                    Math.max(0, report.path("completed").asLong())));
+        } catch (IOException failure) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/mangowall-router/src/main/java/org/mangowall/router/runner/TokenUsage.java
@@ -0,0 +1,29 @@
+package org.mangowall.router.runner;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.mangowall.inventory.Service;
+
+/**
+ * The tokens of one answer.
+ *
+ * @param promptTokens those of the prompt
+ * @param outputTokens those of the answer
+ */
+record TokenUsage(long promptTokens, long outputTokens) {
+
+    static final TokenUsage NONE = new TokenUsage(0, 0);
+
+    /** Reads the usage object of a chat completion; {@link #NONE} when it is not one. */
+    static TokenUsage of(JsonNode usage) {
+        if (usage == null || !usage.isObject()) {
+            return NONE;
+        }
+        long prompt = Math.max(0, usage.path("prompt_tokens").asLong(0));
+        long output = Math.max(0, usage.path("completion_tokens").asLong(0));
+        return new TokenUsage(prompt, output);
+    }
+
+    double cost(Service service) {
+        return promptTokens * service.promptTokenCost() + outputTokens * service.outputTokenCost();
+    }
+}
