Carry requests through entry, home and runner

Cause: nothing carried a caller's request yet. Change: caller port on Netty with bounded requests, streams and problem documents; decision duty around the chosen policy; MessagePack links between routers, one connection per direction, opened at need with jittered back-off, heartbeats while requests depend on a silent one; runner client on AsyncHttpClient that tells a try that was surely not sent from one that may have run; load polls; operator port with status, explanations, configuration and metrics; a polling control plane that serves until membership lands; graceful shutdown; mangowall-router binary.

--- /dev/null
+++ b/mangowall-router/src/main/java/org/mangowall/router/FleetState.java
@@ -0,0 +1,52 @@
+package org.mangowall.router;
+
+import org.mangowall.inventory.Inventory;
+import org.mangowall.kernel.log.PartLog;
+import org.mangowall.policy.event.DecisionEvent;
+import org.mangowall.policy.fleet.FleetView;
+import org.mangowall.router.decision.DecisionSink;
+import org.mangowall.router.peer.PeerNetwork;
+
+/** The configuration in force and the view of the fleet, for all parts of one router. */
+final class FleetState {
+
+    private static final PartLog LOG = PartLog.of("configuration");
+
+    private final DecisionSink decisions;
+    private volatile Inventory inventory = Inventory.builder(0).build();
+    private volatile FleetView view = FleetView.of(java.util.List.of());
+
+    FleetState(DecisionSink decisions) {
+        this.decisions = decisions;
+    }
+
+    Inventory inventory() {
+        return inventory;
+    }
+
+    FleetView view() {
+        return view;
+    }
+
+    void install(Inventory newer) {
+        synchronized (this) {
+            if (newer.version() <= inventory.version()) {
+                return;
+            }
+            inventory = newer;
+        }
+        LOG.info("version %s is in force", newer.version());
+        decisions.post(new DecisionEvent.ConfigurationChanged(newer));
+    }
+
+    void install(FleetView newer, PeerNetwork peers) {
+        synchronized (this) {
+            if (newer.equals(view)) {
+                return;
+            }
+            view = newer;
+            peers.update(newer);
+        }
+        decisions.post(new DecisionEvent.FleetChanged(newer));
+    }
+}
--- /dev/null
+++ b/mangowall-router/src/main/java/org/mangowall/router/PeerDispatcher.java
@@ -0,0 +1,144 @@
+package org.mangowall.router;
+
+import java.time.Duration;
+import java.util.function.Supplier;
+
+import org.mangowall.kernel.log.PartLog;
+import org.mangowall.kernel.name.RequestIdentifier;
+import org.mangowall.policy.event.DecisionEvent;
+import org.mangowall.protocol.MessageType;
+import org.mangowall.protocol.PeerMessage;
+import org.mangowall.router.caller.EntryDesk;
+import org.mangowall.router.caller.EntryRequest;
+import org.mangowall.router.decision.DecisionSink;
+import org.mangowall.router.home.HomeDesk;
+import org.mangowall.router.metrics.RouterMetrics;
+import org.mangowall.router.peer.PeerConnection;
+import org.mangowall.router.peer.PeerListener;
+import org.mangowall.router.spi.ControlPlane;
+
+/** Hands the messages of other routers to the parts that they concern. */
+final class PeerDispatcher implements PeerListener {
+
+    private static final PartLog LOG = PartLog.of("peer");
+
+    private final EntryDesk entryDesk;
+    private final HomeDesk homeDesk;
+    private final DecisionSink decisions;
+    private final RouterMetrics metrics;
+    private final Supplier<ControlPlane> control;
+
+    PeerDispatcher(
+            EntryDesk entryDesk,
+            HomeDesk homeDesk,
+            DecisionSink decisions,
+            RouterMetrics metrics,
+            Supplier<ControlPlane> control) {
+        this.entryDesk = entryDesk;
+        this.homeDesk = homeDesk;
+        this.decisions = decisions;
+        this.metrics = metrics;
+        this.control = control;
+    }
+
+    @Override
+    public void connected(PeerConnection connection) {
+        LOG.info("connected with %s", connection);
+    }
+
+    @Override
+    public void received(PeerConnection connection, PeerMessage message) {
+        switch (message) {
+            case PeerMessage.ForwardRequest forward -> homeDesk.forwarded(connection, forward);
+            case PeerMessage.CancelRequest cancel -> homeDesk.cancelled(connection, cancel);
+            case PeerMessage.AnswerFlow flow -> homeDesk.held(connection, flow);
+            case PeerMessage.ReleaseRequest release -> released(connection, release);
+            case PeerMessage.AnswerHead head -> {
+                EntryRequest request = entry(head.request(), MessageType.ANSWER_HEAD);
+                if (request != null) {
+                    request.answerHead(connection, head.runner(), head.status(), head.headers());
+                }
+            }
+            case PeerMessage.AnswerBody body -> {
+                EntryRequest request = entry(body.request(), MessageType.ANSWER_BODY);
+                if (request != null) {
+                    request.answerBody(connection, body.bytes());
+                }
+            }
+            case PeerMessage.AnswerEnd end -> {
+                EntryRequest request = entry(end.request(), MessageType.ANSWER_END);
+                if (request != null) {
+                    request.answerEnd(connection, end.bodyBytes());
+                }
+            }
+            case PeerMessage.RefusalNotice refusal -> {
+                EntryRequest request = entry(refusal.request(), MessageType.REFUSAL_NOTICE);
+                if (request != null) {
+                    request.refused(connection, refusal.code(), Duration.ofMillis(refusal.retryAfterMillis()));
+                }
+            }
+            default -> receivedControl(connection, message);
+        }
+    }
+
+    private void receivedControl(PeerConnection connection, PeerMessage message) {
+        switch (message) {
+            case PeerMessage.Exchange exchange ->
+                decisions.offer(new DecisionEvent.ExchangeReceived(exchange.exchange()));
+            case PeerMessage.PullRequests pull ->
+                decisions.offer(new DecisionEvent.PullReceived(
+                        connection.remote().router(), pull.service(), pull.slots(), pull.belowTag()));
+            case PeerMessage.CountersAsk ask ->
+                decisions.offer(
+                        new DecisionEvent.CountersAsked(connection.remote().router()));
+            case PeerMessage.Counters counters ->
+                decisions.offer(new DecisionEvent.CountersReceived(counters.snapshot()));
+            default ->
+                control.get()
+                        .messageReceived(
+                                connection.remote().router(),
+                                connection.remote().incarnation(),
+                                message);
+        }
+    }
+
+    private EntryRequest entry(RequestIdentifier identifier, MessageType type) {
+        EntryRequest request = entryDesk.find(identifier);
+        if (request == null) {
+            metrics.lateFrame(type);
+        }
+        return request;
+    }
+
+    private void released(PeerConnection connection, PeerMessage.ReleaseRequest release) {
+        RequestIdentifier identifier = release.description().identifier();
+        EntryRequest request = entry(identifier, MessageType.RELEASE_REQUEST);
+        if (request == null) {
+            return;
+        }
+        if (!request.unbind(connection)) {
+            metrics.lateFrame(MessageType.RELEASE_REQUEST);
+            return;
+        }
+        decisions.post(new DecisionEvent.RequestReleased(
+                identifier, connection.remote().router(), release.reason(), release.description(), release.moveTo()));
+    }
+
+    @Override
+    public void writabilityChanged(PeerConnection connection) {
+        homeDesk.writabilityChanged(connection);
+    }
+
+    @Override
+    public void disconnected(PeerConnection connection) {
+        PeerMessage.Hello remote = connection.remote();
+        if (remote == null) {
+            return;
+        }
+        homeDesk.disconnected(connection);
+        if (entryDesk.dependsOn(connection)) {
+            LOG.warn("lost the connection with %s while requests depended on it", connection);
+            decisions.post(new DecisionEvent.PeerLost(remote.router(), remote.incarnation()));
+        }
+    }
+}
--- /dev/null
+++ b/mangowall-router/src/main/java/org/mangowall/router/RouterMain.java
@@ -0,0 +1,90 @@
+package org.mangowall.router;
+
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.ParameterException;
+import org.mangowall.kernel.failure.MangowallException;
+
+/** The binary {@code mangowall-router}. */
+public final class RouterMain {
+
+    private static final int EXIT_OK = 0;
+    private static final int EXIT_FAILED = 1;
+    private static final int EXIT_BAD_SETTINGS = 2;
+    private static final String PROGRAM = "mangowall-router";
+
+    private RouterMain() {}
+
+    /** Runs a router until the process is asked to end; bad settings end it with code 2. */
+    public static void main(String[] arguments) {
+        System.setProperty("java.util.logging.manager", "org.jboss.logmanager.LogManager");
+        int exitCode = run(arguments, System.out, System.err);
+        if (exitCode != EXIT_OK) {
+            System.exit(exitCode);
+        }
+    }
+
+    static int run(String[] arguments, PrintStream out, PrintStream err) {
+        RouterArguments parsed = new RouterArguments();
+        JCommander commander =
+                JCommander.newBuilder().programName(PROGRAM).addObject(parsed).build();
+        try {
+            commander.parse(arguments);
+        } catch (ParameterException failure) {
+            err.println(PROGRAM + ": " + failure.getMessage());
+            return EXIT_BAD_SETTINGS;
+        }
+        if (parsed.help() || parsed.settings() == null) {
+            StringBuilder help = new StringBuilder();
+            commander.getUsageFormatter().usage(help);
+            (parsed.help() ? out : err).print(help);
+            return parsed.help() ? EXIT_OK : EXIT_BAD_SETTINGS;
+        }
+        return runWith(parsed, out, err);
+    }
+
+    private static int runWith(RouterArguments arguments, PrintStream out, PrintStream err) {
+        RouterSettings settings;
+        try {
+            settings = RouterSettingsReader.read(Path.of(arguments.settings()));
+        } catch (MangowallException failure) {
+            err.println(PROGRAM + ": " + failure.getMessage());
+            return EXIT_BAD_SETTINGS;
+        }
+        if (arguments.check()) {
+            out.println(PROGRAM + ": the settings are good");
+            return EXIT_OK;
+        }
+        LogSetup.apply(settings.log());
+        try {
+            startUntilEnd(settings);
+            return EXIT_OK;
+        } catch (MangowallException failure) {
+            err.println(PROGRAM + ": " + failure.failureCode().code() + ": " + failure.getMessage());
+            return EXIT_FAILED;
+        }
+    }
+
+    private static void awaitEnd() {
+        try {
+            new CountDownLatch(1).await();
+        } catch (InterruptedException interruption) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static void startUntilEnd(RouterSettings settings) {
+        Router router = Router.start(settings);
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(
+                        () -> {
+                            router.leave().join();
+                            router.close();
+                        },
+                        "mangowall-shutdown"));
+        awaitEnd();
+    }
+}
--- /dev/null
+++ b/mangowall-router/src/main/java/org/mangowall/router/RouterParts.java
@@ -0,0 +1,238 @@
+package org.mangowall.router;
+
+import java.io.IOException;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import org.mangowall.inventory.Inventory;
+import org.mangowall.kernel.duty.Duty;
+import org.mangowall.kernel.duty.DutyHandler;
+import org.mangowall.kernel.log.PartLog;
+import org.mangowall.kernel.name.RouterName;
+import org.mangowall.kernel.plugin.PluginRegistry;
+import org.mangowall.platform.PlatformClient;
+import org.mangowall.policy.RouterIdentity;
+import org.mangowall.policy.SchedulingPolicy;
+import org.mangowall.policy.fleet.FleetMember;
+import org.mangowall.policy.fleet.FleetView;
+import org.mangowall.policy.fleet.MemberState;
+import org.mangowall.protocol.PeerMessage;
+import org.mangowall.router.caller.CallerServer;
+import org.mangowall.router.caller.EntryDesk;
+import org.mangowall.router.caller.FleetPages;
+import org.mangowall.router.caller.ServiceState;
+import org.mangowall.router.decision.DecisionDuty;
+import org.mangowall.router.decision.DecisionRecords;
+import org.mangowall.router.decision.RouterActions;
+import org.mangowall.router.home.HomeDesk;
+import org.mangowall.router.metrics.RouterMetrics;
+import org.mangowall.router.operator.OperatorPages;
+import org.mangowall.router.operator.OperatorServer;
+import org.mangowall.router.peer.PeerNetwork;
+import org.mangowall.router.runner.LoadPoller;
+import org.mangowall.router.runner.RunnerClient;
+import org.mangowall.router.spi.ControlContext;
+import org.mangowall.router.spi.ControlPlane;
+import org.mangowall.router.spi.ControlPlaneProvider;
+
+/** Makes and joins the parts of a router. */
+final class RouterParts implements ControlContext, AutoCloseable {
+
+    private static final PartLog LOG = PartLog.of("router");
+    private static final Duration WATCH_PERIOD = Duration.ofMillis(50);
+    private static final int WATCH_RING_EVENTS = 16;
+    private static final int REMEMBERED_REQUESTS = 4096;
+
+    private final RouterSettings settings;
+    private final PlatformClient platform;
+    private final Clock clock;
+    private final RouterIdentity identity;
+    private final RouterMetrics metrics = new RouterMetrics();
+    private final EventLoopGroup eventLoops;
+    private final DecisionDuty decisions;
+    private final FleetState fleet;
+    private final EntryDesk entryDesk;
+    private final RunnerClient runnerClient;
+    private final HomeDesk homeDesk;
+    private final PeerNetwork peers;
+    private final CallerServer callerServer;
+    private final OperatorServer operatorServer;
+    private final ControlPlane control;
+    private final Duty<Runnable> runnerWatch;
+    private final DecisionRecords records = new DecisionRecords(REMEMBERED_REQUESTS);
+    private volatile boolean leaving;
+    private volatile boolean draining;
+    private volatile FleetMember self;
+    private int operatorPort;
+
+    RouterParts(RouterSettings settings, PlatformClient platform, Clock clock) {
+        this.settings = settings;
+        this.platform = platform;
+        this.clock = clock;
+        this.identity = new RouterIdentity(settings.name(), clock.millis(), settings.zone());
+        SchedulingPolicy policy = PluginRegistry.load(SchedulingPolicy.class).find(settings.schedulingPolicy());
+        ControlPlaneProvider controlProvider =
+                PluginRegistry.load(ControlPlaneProvider.class).find(settings.controlPlane());
+        this.eventLoops = new NioEventLoopGroup(settings.ioThreads(), new DefaultThreadFactory("mangowall-io", true));
+        this.decisions = new DecisionDuty(
+                policy.create(identity, clock, settings.seed()), clock, metrics, settings.decisionRingEvents());
+        this.fleet = new FleetState(decisions);
+        this.control = controlProvider.create(this);
+        this.entryDesk =
+                new EntryDesk(identity, settings.caller(), decisions, metrics, fleet::inventory, control::claims);
+        this.runnerClient = new RunnerClient(settings.runner(), clock, eventLoops);
+        this.homeDesk = new HomeDesk(entryDesk, runnerClient, decisions, metrics, fleet::inventory);
+        PeerDispatcher dispatcher = new PeerDispatcher(entryDesk, homeDesk, decisions, metrics, this::control);
+        this.peers =
+                new PeerNetwork(identity, settings.peer(), metrics, clock, eventLoops, dispatcher, settings.seed());
+        FleetPages pages =
+                new FleetPages(settings.zone(), settings.caller().entryHostsKeepTime(), fleet::view, fleet::inventory);
+        this.callerServer = new CallerServer(settings.caller(), eventLoops, entryDesk, pages, this::state);
+        OperatorPages operatorPages =
+                new OperatorPages(identity, this::state, fleet::inventory, fleet::view, decisions::status, records);
+        this.operatorServer = new OperatorServer(
+                eventLoops, operatorPages, metrics.registry(), control.configuration(), settings.operatorTokenFile());
+        this.runnerWatch = runnerWatch();
+    }
+
+    private Duty<Runnable> runnerWatch() {
+        LoadPoller poller = new LoadPoller(
+                settings.runner(),
+                runnerClient,
+                clock,
+                decisions::status,
+                fleet::inventory,
+                decisions,
+                settings.seed());
+        return new Duty<>("runner-watch", WATCH_RING_EVENTS, WATCH_PERIOD, new DutyHandler<>() {
+            @Override
+            public void handle(Runnable step) {
+                step.run();
+            }
+
+            @Override
+            public void tick() {
+                runnerClient.checkProgress();
+                poller.poll();
+            }
+        });
+    }
+
+    void start() {
+        int peerPort = peers.bind(settings.peerAddress().toSocketAddress());
+        int callerPort = callerServer.bind(settings.callerAddress().toSocketAddress());
+        operatorPort = operatorServer.bind(settings.operatorAddress().toSocketAddress());
+        self = new FleetMember(
+                identity.name(),
+                identity.incarnation(),
+                identity.zone(),
+                settings.callerAddress().host(),
+                callerPort,
+                peerPort,
+                MemberState.ALIVE);
+        decisions.start(new RouterActions(identity, entryDesk, homeDesk, peers, decisions, clock, records));
+        runnerWatch.start();
+        control.start();
+    }
+
+    int callerPort() {
+        return self.callerPort();
+    }
+
+    int peerPort() {
+        return self.peerPort();
+    }
+
+    int operatorPort() {
+        return operatorPort;
+    }
+
+    ControlPlane control() {
+        return control;
+    }
+
+    FleetState fleet() {
+        return fleet;
+    }
+
+    DecisionDuty decisions() {
+        return decisions;
+    }
+
+    void setState(ServiceState newState) {
+        leaving = true;
+        draining = newState == ServiceState.DRAINING;
+    }
+
+    private ServiceState state() {
+        if (leaving) {
+            return draining ? ServiceState.DRAINING : ServiceState.LEAVING;
+        }
+        boolean ready = fleet.inventory().version() > 0 && control.isReady();
+        return ready ? ServiceState.SERVING : ServiceState.STARTING;
+    }
+
+    void stopListening() {
+        callerServer.stopListening();
+    }
+
+    int openRequests() {
+        return entryDesk.openRequests() + homeDesk.openRequests();
+    }
+
+    @Override
+    public FleetMember self() {
+        return self;
+    }
+
+    @Override
+    public Clock clock() {
+        return clock;
+    }
+
+    @Override
+    public long seed() {
+        return settings.seed();
+    }
+
+    @Override
+    public PlatformClient platform() {
+        return platform;
+    }
+
+    @Override
+    public boolean send(RouterName to, PeerMessage message) {
+        return peers.send(to, message);
+    }
+
+    @Override
+    public void installInventory(Inventory inventory) {
+        fleet.install(inventory);
+    }
+
+    @Override
+    public void installFleetView(FleetView view) {
+        fleet.install(view, peers);
+    }
+
+    @Override
+    public void close() {
+        control.close();
+        runnerWatch.close();
+        callerServer.close();
+        operatorServer.close();
+        peers.close();
+        decisions.close();
+        try {
+            runnerClient.close();
+        } catch (IOException failure) {
+            LOG.warn("the client of runners did not close: %s", failure);
+        }
+        platform.close();
+        eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(2, TimeUnit.SECONDS);
+    }
+}
--- /dev/null
+++ b/mangowall-router/src/main/java/org/mangowall/router/caller/CallerHandler.java
@@ -0,0 +1,170 @@
+package org.mangowall.router.caller;
+
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.Queue;
+import java.util.function.Supplier;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.timeout.IdleStateEvent;
+import org.mangowall.kernel.failure.FailureCode;
+import org.mangowall.kernel.failure.MangowallException;
+import org.mangowall.kernel.log.PartLog;
+
+/** Serves one connection of a caller: one request after the other, pipelined ones wait. */
+final class CallerHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+
+    private static final PartLog LOG = PartLog.of("entry");
+    private static final int MAXIMUM_PIPELINED = 4;
+    private static final String JSON = "application/json";
+    private static final String NO_SERVICE = "none";
+
+    private final EntryDesk desk;
+    private final FleetPages pages;
+    private final Supplier<ServiceState> state;
+    private final Queue<FullHttpRequest> pipelined = new ArrayDeque<>();
+    private EntryRequest current;
+    private boolean busy;
+
+    CallerHandler(EntryDesk desk, FleetPages pages, Supplier<ServiceState> state) {
+        this.desk = desk;
+        this.pages = pages;
+        this.state = state;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+        if (busy) {
+            pipelined.add(request.retain());
+            context.channel().config().setAutoRead(pipelined.size() < MAXIMUM_PIPELINED);
+            return;
+        }
+        serve(context, request);
+    }
+
+    private void serve(ChannelHandlerContext context, FullHttpRequest request) {
+        busy = true;
+        CallerExchange exchange = new CallerExchange(context.channel(), request, () -> answered(context));
+        if (state.get() == ServiceState.DRAINING) {
+            exchange.closeAfterAnswer();
+        }
+        if (request.decoderResult().isFailure()) {
+            exchange.closeAfterAnswer();
+            refuse(exchange, unreadable(request.decoderResult().cause()));
+            return;
+        }
+        try {
+            dispatch(request, exchange);
+        } catch (MangowallException failure) {
+            refuse(exchange, Problem.of(failure.failureCode(), failure.getMessage()));
+        } catch (RuntimeException failure) {
+            LOG.error(failure, "a request failed before it was routed");
+            refuse(exchange, Problem.of(FailureCode.INTERNAL, "the router failed"));
+        }
+    }
+
+    private static Problem unreadable(Throwable cause) {
+        if (cause instanceof TooLongFrameException) {
+            return Problem.of(FailureCode.HEADERS_TOO_LARGE, "the request line or the header fields are too long");
+        }
+        return Problem.of(FailureCode.MALFORMED_REQUEST, "this is not a request of HTTP/1.1");
+    }
+
+    private void refuse(CallerExchange exchange, Problem problem) {
+        desk.metrics()
+                .requestEnded(
+                        NO_SERVICE,
+                        problem.code().outcome().text(),
+                        problem.code().code());
+        exchange.fail(problem);
+    }
+
+    private void dispatch(FullHttpRequest request, CallerExchange exchange) {
+        switch (request.uri()) {
+            case "/mangowall/entry-hosts" -> page(exchange, HttpResponseStatus.OK, pages.entryHosts());
+            case "/mangowall/health" -> page(exchange, HttpResponseStatus.OK, pages.state("alive"));
+            case "/mangowall/ready" -> ready(exchange);
+            default -> admit(request, exchange);
+        }
+    }
+
+    private static void page(CallerExchange exchange, HttpResponseStatus status, byte[] document) {
+        exchange.document(status.code(), JSON, document, null);
+    }
+
+    private void ready(CallerExchange exchange) {
+        boolean ready = state.get() == ServiceState.SERVING;
+        HttpResponseStatus status = ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
+        page(exchange, status, pages.state(ready ? "ready" : "not-ready"));
+    }
+
+    private void admit(FullHttpRequest request, CallerExchange exchange) {
+        if (state.get() == ServiceState.DRAINING) {
+            throw new MangowallException(FailureCode.ROUTER_LEAVING, "the router is shutting down");
+        }
+        EntryRequest admitted = desk.admit(request, exchange);
+        if (busy) {
+            current = admitted;
+        }
+    }
+
+    private void answered(ChannelHandlerContext context) {
+        busy = false;
+        current = null;
+        if (!pipelined.isEmpty()) {
+            context.executor().execute(() -> serveNext(context));
+        }
+    }
+
+    private void serveNext(ChannelHandlerContext context) {
+        if (busy || !context.channel().isActive()) {
+            return;
+        }
+        FullHttpRequest next = pipelined.poll();
+        if (next == null) {
+            return;
+        }
+        context.channel().config().setAutoRead(true);
+        try {
+            serve(context, next);
+        } finally {
+            next.release();
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (current != null) {
+            current.writabilityChanged();
+        }
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof IdleStateEvent && !busy) {
+            context.close();
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        pipelined.forEach(FullHttpRequest::release);
+        pipelined.clear();
+        if (current != null) {
+            current.callerLeft();
+            current = null;
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable failure) {
+        if (!(failure instanceof IOException)) {
+            LOG.error(failure, "the connection of a caller failed");
+        }
+        context.close();
+    }
+}
--- /dev/null
+++ b/mangowall-router/src/main/java/org/mangowall/router/caller/CallerServer.java
@@ -0,0 +1,103 @@
+package org.mangowall.router.caller;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.flush.FlushConsolidationHandler;
+import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import org.mangowall.kernel.failure.FailureCode;
+import org.mangowall.kernel.failure.MangowallException;
+import org.mangowall.router.CallerSettings;
+
+/** The HTTP server for callers. */
+public final class CallerServer implements AutoCloseable {
+
+    private static final int MAXIMUM_REQUEST_LINE_BYTES = 8192;
+    private static final int CHUNK_BYTES = 8192;
+
+    private final CallerSettings settings;
+    private final EventLoopGroup eventLoops;
+    private final EntryDesk desk;
+    private final FleetPages pages;
+    private final Supplier<ServiceState> state;
+    private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private volatile Channel listening;
+
+    /** Creates a server that is not bound. */
+    public CallerServer(
+            CallerSettings settings,
+            EventLoopGroup eventLoops,
+            EntryDesk desk,
+            FleetPages pages,
+            Supplier<ServiceState> state) {
+        this.settings = settings;
+        this.eventLoops = eventLoops;
+        this.desk = desk;
+        this.pages = pages;
+        this.state = state;
+    }
+
+    /**
+     * Listens for callers.
+     *
+     * @return the port
+     * @throws MangowallException with {@link FailureCode#ADDRESS_UNUSABLE}
+     */
+    public int bind(InetSocketAddress address) {
+        ChannelFuture bound = new ServerBootstrap()
+                .group(eventLoops)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_BACKLOG, 1024)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channels.add(channel);
+                        initialize(channel.pipeline());
+                    }
+                })
+                .bind(address)
+                .awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new MangowallException(
+                    FailureCode.ADDRESS_UNUSABLE, "can't listen for callers on " + address, bound.cause());
+        }
+        listening = bound.channel();
+        return ((InetSocketAddress) listening.localAddress()).getPort();
+    }
+
+    private void initialize(ChannelPipeline pipeline) {
+        long idleMillis = settings.idleTimeout().toMillis();
+        pipeline.addLast(new FlushConsolidationHandler())
+                .addLast(new IdleStateHandler(0, 0, idleMillis, TimeUnit.MILLISECONDS))
+                .addLast(new HttpServerCodec(MAXIMUM_REQUEST_LINE_BYTES, settings.maximumHeaderBytes(), CHUNK_BYTES))
+                .addLast(new RequestReadTimer(settings.readTimeout()))
+                .addLast(new BoundedAggregator(settings.maximumBodyBytes()))
+                .addLast(new CallerHandler(desk, pages, state));
+    }
+
+    /** Takes no new connections; the open ones go on. */
+    public void stopListening() {
+        listening.close().awaitUninterruptibly();
+    }
+
+    @Override
+    public void close() {
+        stopListening();
+        channels.close().awaitUninterruptibly();
+    }
+}
--- a/mangowall-router/src/main/java/org/mangowall/router/caller/EntryRequest.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/caller/EntryRequest.java
@@ -11,6 +11,7 @@
 import org.mangowall.policy.event.DecisionEvent;
 import org.mangowall.protocol.HeaderField;
 import org.mangowall.protocol.MessageType;
+import org.mangowall.protocol.StoredAnswer;
 import org.mangowall.router.peer.PeerConnection;
 import org.mangowall.router.runner.AnswerOrigin;
 import org.mangowall.router.runner.RequestContent;
@@ -34,7 +35,7 @@
     private volatile RequestContent content;
     private volatile AnswerOrigin origin;
     private long answerBytes;
-    private boolean ended;
+    private volatile boolean ended;
 
     EntryRequest(
             EntryDesk desk,
@@ -66,11 +67,14 @@
 
     /** Whether the caller takes more of the answer without piling it up. */
     public boolean isWritable() {
-        return exchange.channel().isWritable();
+        return ended || exchange.channel().isWritable();
     }
 
     /** Says where the answer is to come from now. */
-    public void bind(AnswerOrigin newOrigin) {
+    public synchronized void bind(AnswerOrigin newOrigin) {
+        if (ended) {
+            return;
+        }
         AnswerOrigin previous = origin;
         origin = newOrigin;
         if (previous instanceof PeerConnection connection) {
@@ -81,6 +85,16 @@
         }
     }
 
+    /** Ends the bond with a home that gave the request back; false when it is bound to another one. */
+    public synchronized boolean unbind(PeerConnection connection) {
+        if (origin != connection) {
+            return false;
+        }
+        origin = null;
+        connection.requestClosed();
+        return true;
+    }
+
     /** Whether the answer is to come from there. */
     public boolean isBoundTo(AnswerOrigin other) {
         return origin == other;
@@ -184,7 +198,7 @@
     }
 
     /** An answer kept from an earlier request with the same idempotency key. */
-    void replay(org.mangowall.protocol.StoredAnswer answer) {
+    void replay(StoredAnswer answer) {
         run(() -> {
             if (ended) {
                 return;
@@ -211,16 +225,23 @@
     }
 
     private void finish(RequestOutcome outcome, String code) {
-        ended = true;
-        content = null;
-        AnswerOrigin last = origin;
+        AnswerOrigin last = release();
         if (last instanceof PeerConnection connection) {
             connection.requestClosed();
+        } else if (last != null) {
+            last.hold(description.identifier(), false);
         }
-        origin = null;
         desk.ended(this, outcome, code);
     }
 
+    private synchronized AnswerOrigin release() {
+        AnswerOrigin last = origin;
+        ended = true;
+        content = null;
+        origin = null;
+        return last;
+    }
+
     void writabilityChanged() {
         AnswerOrigin from = origin;
         if (from != null) {
--- /dev/null
+++ b/mangowall-router/src/main/java/org/mangowall/router/caller/FleetPages.java
@@ -0,0 +1,74 @@
+package org.mangowall.router.caller;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.Supplier;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.mangowall.inventory.Inventory;
+import org.mangowall.kernel.failure.FailureCode;
+import org.mangowall.kernel.failure.MangowallException;
+import org.mangowall.kernel.name.ZoneName;
+import org.mangowall.policy.fleet.FleetMember;
+import org.mangowall.policy.fleet.FleetView;
+import org.mangowall.policy.fleet.MemberState;
+
+/** What the router tells callers of the fleet and of itself. */
+public final class FleetPages {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final ZoneName zone;
+    private final Duration keepTime;
+    private final Supplier<FleetView> view;
+    private final Supplier<Inventory> inventory;
+
+    /** Creates the pages of a router in the given zone. */
+    public FleetPages(ZoneName zone, Duration keepTime, Supplier<FleetView> view, Supplier<Inventory> inventory) {
+        this.zone = zone;
+        this.keepTime = keepTime;
+        this.view = view;
+        this.inventory = inventory;
+    }
+
+    /** The entry hosts to use, nearest first, and how long callers may keep this answer. */
+    byte[] entryHosts() {
+        ObjectNode document = MAPPER.createObjectNode();
+        document.put("keep_millis", keepTime.toMillis());
+        ArrayNode hosts = document.putArray("entry_hosts");
+        for (FleetMember member : usableMembers()) {
+            ObjectNode host = hosts.addObject();
+            host.put("name", member.name().value());
+            host.put("zone", member.zone().value());
+            host.put("host", member.host());
+            host.put("port", member.callerPort());
+        }
+        return write(document);
+    }
+
+    private List<FleetMember> usableMembers() {
+        Inventory current = inventory.get();
+        List<FleetMember> members = new ArrayList<>(view.get().members().values());
+        members.removeIf(member -> member.state() != MemberState.ALIVE);
+        members.sort(Comparator.comparingInt(member -> current.distance(zone, member.zone())));
+        return members;
+    }
+
+    /** One word on the state of the process. */
+    byte[] state(String word) {
+        return write(MAPPER.createObjectNode().put("status", word));
+    }
+
+    private static byte[] write(ObjectNode document) {
+        try {
+            return MAPPER.writeValueAsBytes(document);
+        } catch (JsonProcessingException failure) {
+            throw new MangowallException(FailureCode.INTERNAL, "a page can't be written", failure);
+        }
+    }
+}
--- a/mangowall-router/src/main/java/org/mangowall/router/caller/RequestParser.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/caller/RequestParser.java
@@ -31,8 +31,8 @@
     private static final int MAXIMUM_KEY_CHARACTERS = 255;
     private static final double MAXIMUM_COST_HINT = 1e9;
     private static final Set<String> REPEATABLE_METHODS = Set.of("GET", "HEAD", "PUT", "DELETE", "OPTIONS");
-    private static final List<String> OWN_HEADERS = List.of(
-            WORKSPACE_HEADER, COST_HEADER, REPEATABLE_HEADER, "content-length", "x-mangowall-request");
+    private static final List<String> OWN_HEADERS =
+            List.of(WORKSPACE_HEADER, COST_HEADER, REPEATABLE_HEADER, "content-length", "x-mangowall-request");
 
     private final Inventory inventory;
 
@@ -106,8 +106,8 @@
             boolean repeatableByDefault,
             long prefixHash) {
         HttpHeaders headers = request.headers();
-        RequestContent content = new RequestContent(
-                request.method().name(), path, HeaderRules.endToEnd(headers, OWN_HEADERS), body);
+        RequestContent content =
+                new RequestContent(request.method().name(), path, HeaderRules.endToEnd(headers, OWN_HEADERS), body);
         return new ParsedRequest(
                 workspace,
                 service,
--- /dev/null
+++ b/mangowall-router/src/main/java/org/mangowall/router/decision/RouterActions.java
@@ -0,0 +1,107 @@
+package org.mangowall.router.decision;
+
+import java.time.Clock;
+import java.util.Optional;
+
+import org.mangowall.kernel.name.RouterName;
+import org.mangowall.policy.ReleaseReason;
+import org.mangowall.policy.RequestDescription;
+import org.mangowall.policy.RouterIdentity;
+import org.mangowall.policy.action.DecisionAction;
+import org.mangowall.policy.event.DecisionEvent;
+import org.mangowall.protocol.PeerMessage;
+import org.mangowall.router.caller.EntryDesk;
+import org.mangowall.router.caller.EntryRequest;
+import org.mangowall.router.home.HomeDesk;
+import org.mangowall.router.peer.PeerNetwork;
+import org.mangowall.router.runner.RequestContent;
+
+/** Carries out actions on the network. */
+public final class RouterActions implements ActionExecutor {
+
+    private final RouterIdentity identity;
+    private final EntryDesk entryDesk;
+    private final HomeDesk homeDesk;
+    private final PeerNetwork peers;
+    private final DecisionSink decisions;
+    private final DecisionJournal journal;
+
+    /** Creates an executor for the parts of one router. */
+    public RouterActions(
+            RouterIdentity identity,
+            EntryDesk entryDesk,
+            HomeDesk homeDesk,
+            PeerNetwork peers,
+            DecisionSink decisions,
+            Clock clock,
+            DecisionRecords records) {
+        this.identity = identity;
+        this.entryDesk = entryDesk;
+        this.homeDesk = homeDesk;
+        this.peers = peers;
+        this.decisions = decisions;
+        this.journal = new DecisionJournal(identity, clock, records);
+    }
+
+    @Override
+    public void execute(DecisionAction action) {
+        switch (action) {
+            case DecisionAction.PassToHome pass -> passToHome(pass);
+            case DecisionAction.SendToRunner send -> {
+                journal.sent(send.request(), send.runner(), send.reason());
+                homeDesk.sendToRunner(send.request(), send.runner());
+            }
+            case DecisionAction.RefuseRequest refuse -> refuse(refuse);
+            case DecisionAction.ReleaseToEntry release -> {
+                journal.released(release.request(), release.reason());
+                homeDesk.release(release.request(), release.reason(), release.moveTo());
+            }
+            case DecisionAction.CancelAtHome cancel ->
+                peers.send(cancel.home(), new PeerMessage.CancelRequest(cancel.request()));
+            case DecisionAction.CancelAtRunner cancel -> homeDesk.cancelAtRunner(cancel.request());
+            case DecisionAction.SendExchange exchange ->
+                peers.send(exchange.to(), new PeerMessage.Exchange(exchange.exchange()));
+            case DecisionAction.SendPull pull ->
+                peers.send(pull.to(), new PeerMessage.PullRequests(pull.service(), pull.slots(), pull.belowTag()));
+            case DecisionAction.AskCounters ask -> peers.send(ask.to(), new PeerMessage.CountersAsk());
+            case DecisionAction.SendCounters counters ->
+                peers.send(counters.to(), new PeerMessage.Counters(counters.snapshot()));
+        }
+    }
+
+    private void passToHome(DecisionAction.PassToHome pass) {
+        RequestDescription description = pass.request();
+        EntryRequest request = entryDesk.find(description.identifier());
+        RequestContent content = request == null ? null : request.content();
+        if (content == null) {
+            return;
+        }
+        journal.routed(description, pass.home(), pass.reason());
+        PeerMessage message = new PeerMessage.ForwardRequest(
+                description, content.method(), content.path(), content.headers(), content.body());
+        peers.send(pass.home(), message, request::bind, () -> notSent(description, pass.home()));
+    }
+
+    private void notSent(RequestDescription description, RouterName home) {
+        decisions.post(new DecisionEvent.RequestReleased(
+                description.identifier(),
+                home,
+                ReleaseReason.NOT_SENT,
+                description.movedAfter(description.waited()),
+                Optional.empty()));
+    }
+
+    private void refuse(DecisionAction.RefuseRequest refuse) {
+        journal.refused(refuse.request(), refuse.code().code());
+        boolean own = refuse.request().entry().equals(identity.name())
+                && refuse.request().incarnation() == identity.incarnation();
+        if (!own) {
+            homeDesk.refuse(refuse.request(), refuse.code(), refuse.retryAfter());
+            return;
+        }
+        EntryRequest request = entryDesk.find(refuse.request());
+        if (request != null) {
+            request.refuse(refuse.code(), refuse.retryAfter());
+        }
+    }
+}
--- a/mangowall-router/src/main/java/org/mangowall/router/home/HomeDesk.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/home/HomeDesk.java
@@ -1,6 +1,7 @@
 package org.mangowall.router.home;
 
 import java.time.Duration;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
@@ -11,6 +12,7 @@
 import org.mangowall.inventory.Service;
 import org.mangowall.kernel.failure.FailureCode;
 import org.mangowall.kernel.name.RequestIdentifier;
+import org.mangowall.kernel.name.RouterName;
 import org.mangowall.kernel.name.RunnerName;
 import org.mangowall.policy.ReleaseReason;
 import org.mangowall.policy.RequestDescription;
@@ -89,7 +91,14 @@
 
     private void abandon(RequestIdentifier identifier) {
         decisions.post(new DecisionEvent.RequestCancelled(identifier));
-        forget(identifier);
+        RemoteRequest request = forget(identifier);
+        RunnerCall call = calls.get(identifier);
+        if (request != null) {
+            request.answer().close();
+        }
+        if (call != null) {
+            call.resumeIfReady();
+        }
     }
 
     /** The entry router's caller reads slowly, or goes on. */
@@ -176,7 +185,7 @@
     }
 
     /** Gives a request back to its entry. */
-    public void release(RequestDescription description, ReleaseReason reason, Optional<org.mangowall.kernel.name.RouterName> moveTo) {
+    public void release(RequestDescription description, ReleaseReason reason, Optional<RouterName> moveTo) {
         RemoteRequest request = forget(description.identifier());
         if (request != null) {
             request.connection().send(new PeerMessage.ReleaseRequest(description, reason, moveTo));
@@ -232,7 +241,7 @@
                 ended = true;
                 calls.remove(identifier);
             }
-            metrics.runnerTryEnded(description.service().value(), outcome.name().toLowerCase(java.util.Locale.ROOT));
+            metrics.runnerTryEnded(description.service().value(), outcome.name().toLowerCase(Locale.ROOT));
             if (outcome == RunnerOutcome.COMPLETED || outcome == RunnerOutcome.CANCELLED) {
                 forget(identifier);
             }
--- a/mangowall-router/src/main/java/org/mangowall/router/home/RemoteAnswer.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/home/RemoteAnswer.java
@@ -15,6 +15,7 @@
     private final RequestIdentifier request;
     private final PeerConnection connection;
     private volatile boolean held;
+    private volatile boolean closed;
 
     RemoteAnswer(RequestIdentifier request, PeerConnection connection) {
         this.request = request;
@@ -25,23 +26,34 @@
         held = isHeld;
     }
 
+    /** Nobody waits for the answer any more; what still comes of it is dropped. */
+    void close() {
+        closed = true;
+    }
+
+    private void send(PeerMessage message) {
+        if (!closed) {
+            connection.send(message);
+        }
+    }
+
     @Override
     public void head(RunnerName runner, int status, List<HeaderField> headers) {
-        connection.send(new PeerMessage.AnswerHead(request, runner, status, headers));
+        send(new PeerMessage.AnswerHead(request, runner, status, headers));
     }
 
     @Override
     public void body(byte[] bytes) {
-        connection.send(new PeerMessage.AnswerBody(request, bytes));
+        send(new PeerMessage.AnswerBody(request, bytes));
     }
 
     @Override
     public void end(long bodyBytes) {
-        connection.send(new PeerMessage.AnswerEnd(request, bodyBytes));
+        send(new PeerMessage.AnswerEnd(request, bodyBytes));
     }
 
     @Override
     public boolean isReady() {
-        return !held && connection.isWritable();
+        return closed || !held && connection.isWritable();
     }
 }
--- a/mangowall-router/src/main/java/org/mangowall/router/metrics/RouterMetrics.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/metrics/RouterMetrics.java
@@ -1,5 +1,7 @@
 package org.mangowall.router.metrics;
 
+import java.util.Locale;
+
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -101,6 +103,6 @@
     }
 
     private static String typeName(MessageType type) {
-        return type.name().toLowerCase(java.util.Locale.ROOT);
+        return type.name().toLowerCase(Locale.ROOT);
     }
 }
--- /dev/null
+++ b/mangowall-router/src/main/java/org/mangowall/router/operator/OperatorServer.java
@@ -0,0 +1,88 @@
+package org.mangowall.router.operator;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.Optional;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.mangowall.kernel.failure.FailureCode;
+import org.mangowall.kernel.failure.MangowallException;
+import org.mangowall.router.caller.BoundedAggregator;
+import org.mangowall.router.spi.ConfigurationAccess;
+
+/** The HTTP server for operators and the metrics collector. */
+public final class OperatorServer implements AutoCloseable {
+
+    private static final int MAXIMUM_DOCUMENT_BYTES = 1024 * 1024;
+    private static final int IDLE_SECONDS = 120;
+
+    private final EventLoopGroup eventLoops;
+    private final OperatorPages pages;
+    private final PrometheusRegistry metrics;
+    private final ConfigurationAccess configuration;
+    private final OperatorToken token;
+    private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+
+    /** Creates a server that is not bound. */
+    public OperatorServer(
+            EventLoopGroup eventLoops,
+            OperatorPages pages,
+            PrometheusRegistry metrics,
+            ConfigurationAccess configuration,
+            Optional<Path> tokenFile) {
+        this.eventLoops = eventLoops;
+        this.pages = pages;
+        this.metrics = metrics;
+        this.configuration = configuration;
+        this.token = new OperatorToken(tokenFile);
+    }
+
+    /**
+     * Listens for operators.
+     *
+     * @return the port
+     * @throws MangowallException with {@link FailureCode#ADDRESS_UNUSABLE}
+     */
+    public int bind(InetSocketAddress address) {
+        ChannelFuture bound = new ServerBootstrap()
+                .group(eventLoops)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childHandler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channels.add(channel);
+                        channel.pipeline()
+                                .addLast(new ReadTimeoutHandler(IDLE_SECONDS))
+                                .addLast(new HttpServerCodec())
+                                .addLast(new BoundedAggregator(MAXIMUM_DOCUMENT_BYTES))
+                                .addLast(new OperatorHandler(pages, metrics, configuration, token));
+                    }
+                })
+                .bind(address)
+                .awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new MangowallException(
+                    FailureCode.ADDRESS_UNUSABLE, "can't listen for operators on " + address, bound.cause());
+        }
+        channels.add(bound.channel());
+        return ((InetSocketAddress) bound.channel().localAddress()).getPort();
+    }
+
+    @Override
+    public void close() {
+        channels.close().awaitUninterruptibly();
+    }
+}
--- /dev/null
+++ b/mangowall-router/src/main/java/org/mangowall/router/operator/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' HTTP port: metrics, status, explanations and the configuration. */
+package org.mangowall.router.operator;
--- /dev/null
+++ b/mangowall-router/src/test/java/org/mangowall/router/TestFleet.java
@@ -0,0 +1,155 @@
+package org.mangowall.router;
+
+import java.io.IOException;
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.Proxy;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import org.mangowall.inventory.document.InventoryDocument;
+import org.mangowall.kernel.name.RouterName;
+import org.mangowall.kernel.name.ZoneName;
+import org.mangowall.kernel.time.MonotonicClock;
+import org.mangowall.platform.ObjectName;
+import org.mangowall.platform.PlatformClient;
+import org.mangowall.platform.memory.InMemoryPlatform;
+import org.mangowall.protocol.operator.RouterStatusDocument;
+
+/** Routers with a platform in memory. */
+final class TestFleet implements AutoCloseable {
+
+    private static final int MAXIMUM_ASKS = 20_000;
+
+    private final InMemoryPlatform platform = new InMemoryPlatform(new MonotonicClock());
+    private final HttpClient client = HttpClient.newHttpClient();
+    private final List<Router> routers = new ArrayList<>();
+
+    TestFleet(int size, String policy, CallerSettings caller, PeerSettings peer, String inventory)
+            throws IOException, InterruptedException {
+        byte[] document = InventoryDocument.parseToml("test", inventory).toJson();
+        platform.write(new ObjectName("configuration", "inventory"), 0, document)
+                .join();
+        for (int index = 1; index <= size; index++) {
+            RouterSettings settings = RouterSettings.embedded(
+                            new RouterName("router-" + index), new ZoneName("zone-" + index), URI.create("http://none"))
+                    .withPlugins(policy, "polling")
+                    .withBounds(caller, peer, RunnerSettings.DEFAULTS);
+            routers.add(Router.start(settings, shared(), new MonotonicClock()));
+        }
+        awaitEveryRouter();
+    }
+
+    static TestFleet of(int size, String inventory) throws IOException, InterruptedException {
+        return new TestFleet(size, "round-robin", CallerSettings.DEFAULTS, PeerSettings.DEFAULTS, inventory);
+    }
+
+    /** One region, zones zone-1 to zone-3, one workspace, a model and a plain service with one runner each. */
+    static String inventory(int modelPort, int plainPort) {
+        return """
+                [[regions]]
+                name = "region"
+                availability_zones = ["zone-1", "zone-2", "zone-3"]
+                [[services]]
+                name = "writer"
+                kind = "model"
+                first_progress_timeout = "1s"
+                progress_timeout = "1s"
+                [[services]]
+                name = "register"
+                kind = "plain"
+                first_progress_timeout = "1s"
+                progress_timeout = "1s"
+                [[runners]]
+                name = "writer-1"
+                service = "writer"
+                zone = "zone-1"
+                address = "127.0.0.1:%d"
+                slots = 8
+                [[runners]]
+                name = "register-1"
+                service = "register"
+                zone = "zone-1"
+                address = "127.0.0.1:%d"
+                slots = 8
+                [[workspaces]]
+                name = "school"
+                weight = 1.0
+                """.formatted(modelPort, plainPort);
+    }
+
+    private PlatformClient shared() {
+        return (PlatformClient) Proxy.newProxyInstance(
+                PlatformClient.class.getClassLoader(),
+                new Class<?>[] {PlatformClient.class},
+                (proxy, method, arguments) -> {
+                    if (method.getName().equals("close")) {
+                        return null;
+                    }
+                    try {
+                        return method.invoke(platform, arguments);
+                    } catch (InvocationTargetException failure) {
+                        throw failure.getCause();
+                    }
+                });
+    }
+
+    private void awaitEveryRouter() throws IOException, InterruptedException {
+        for (Router router : routers) {
+            int asks = 0;
+            while (!status(router).ready() || status(router).members().size() < routers.size()) {
+                asks++;
+                if (asks > MAXIMUM_ASKS) {
+                    throw new IllegalStateException("the fleet did not get ready");
+                }
+            }
+        }
+    }
+
+    RouterStatusDocument status(Router router) throws IOException, InterruptedException {
+        URI uri = URI.create("http://127.0.0.1:" + router.operatorPort() + "/mangowall/status");
+        HttpResponse<byte[]> answer =
+                client.send(HttpRequest.newBuilder(uri).build(), HttpResponse.BodyHandlers.ofByteArray());
+        return RouterStatusDocument.parse(answer.body());
+    }
+
+    Router router(int index) {
+        return routers.get(index);
+    }
+
+    int size() {
+        return routers.size();
+    }
+
+    HttpClient client() {
+        return client;
+    }
+
+    HttpRequest.Builder request(int router, String path) {
+        return HttpRequest.newBuilder(
+                        URI.create("http://127.0.0.1:" + router(router).callerPort() + path))
+                .timeout(java.time.Duration.ofSeconds(20))
+                .header("x-workspace", "school");
+    }
+
+    HttpResponse<String> post(int router, String path, String body) throws IOException, InterruptedException {
+        return client.send(
+                request(router, path)
+                        .POST(HttpRequest.BodyPublishers.ofString(body))
+                        .build(),
+                HttpResponse.BodyHandlers.ofString());
+    }
+
+    void leave(int router) throws Exception {
+        router(router).leave().get(30, TimeUnit.SECONDS);
+    }
+
+    @Override
+    public void close() {
+        routers.forEach(Router::close);
+    }
+}
