--- a/mangowall-standin/src/main/java/org/mangowall/standin/engine/ModelEngineStandIn.java
+++ b/mangowall-standin/src/main/java/org/mangowall/standin/engine/ModelEngineStandIn.java
@@ -7,11 +7,12 @@
 import io.netty.channel.EventLoop;
 import org.mangowall.standin.http.HttpCall;
 import org.mangowall.standin.runner.RunnerProcess;
+import org.mangowall.standin.runner.RunnerStandIn;
 import org.mangowall.standin.runner.SideEffectLedger;
 import org.mangowall.standin.runner.WorkSlot;
 
 /** A model engine that batches continuously: each request in a slot gets its tokens at an even pace. */
-public final class ModelEngineStandIn implements AutoCloseable {
+public final class ModelEngineStandIn implements RunnerStandIn {
 
     private static final String COMPLETIONS_PATH = "/v1/chat/completions";
 
@@ -32,7 +33,7 @@
         return new ModelEngineStandIn(settings, eventLoop, clock, ledger);
     }
 
-    /** The port on which it listens. */
+    @Override
     public int port() {
         return process.port();
     }
--- a/mangowall-standin/src/main/java/org/mangowall/standin/plain/PlainServiceStandIn.java
+++ b/mangowall-standin/src/main/java/org/mangowall/standin/plain/PlainServiceStandIn.java
@@ -7,6 +7,7 @@
 import io.netty.channel.EventLoop;
 import org.mangowall.standin.http.HttpCall;
 import org.mangowall.standin.runner.RunnerProcess;
+import org.mangowall.standin.runner.RunnerStandIn;
 import org.mangowall.standin.runner.SideEffectLedger;
 import org.mangowall.standin.runner.WorkSlot;
 
@@ -16,7 +17,7 @@
  * <p>Calls of other methods than GET and HEAD have a side effect, which the ledger notes when the work is done, also
  * when the caller has gone away meanwhile.
  */
-public final class PlainServiceStandIn implements AutoCloseable {
+public final class PlainServiceStandIn implements RunnerStandIn {
 
     private final PlainServiceSettings settings;
     private final SideEffectLedger ledger;
@@ -40,7 +41,7 @@
         return method + " " + target + "\n" + body;
     }
 
-    /** The port on which it listens. */
+    @Override
     public int port() {
         return process.port();
     }
--- /dev/null
+++ b/mangowall-standin/src/test/java/org/mangowall/standin/demo/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the demo. */
+package org.mangowall.standin.demo;
