--- /dev/null
+++ b/mangowall-tls/src/main/java/org/mangowall/tls/package-info.java
@@ -0,0 +1,2 @@
+/** TLS from PEM files that are read again when they change. */
+package org.mangowall.tls;
