Give a service few homes and bound the receivers of an exchange

The runners of a service in a zone now belong to a group of routers (one for every 8 runners, two at least), an exchange goes to at most 8 homes at a time in turn, and the period is 1 s.

--- a/mangowall-benchmark/src/main/java/org/mangowall/benchmark/PolicyRun.java
+++ b/mangowall-benchmark/src/main/java/org/mangowall/benchmark/PolicyRun.java
@@ -1,6 +1,7 @@
 package org.mangowall.benchmark;
 
 import java.time.Duration;
+import java.util.List;
 
 import org.mangowall.benchmark.fleet.ClosedLoopCallers;
 import org.mangowall.benchmark.fleet.FleetListener;
@@ -103,6 +104,7 @@
         int overloadsBefore = overloads();
         fleet.line().every(SAMPLE_MICROSECONDS, this::sample);
         planRestarts();
+        planZoneOut();
         long begin = System.nanoTime();
         fleet.line().runUntil((arguments.warmUpSeconds() + (long) arguments.seconds()) * MICROSECONDS_PER_SECOND);
         double elapsed = (System.nanoTime() - begin) / NANOSECONDS_PER_SECOND;
@@ -151,6 +153,17 @@
         }
     }
 
+    private void planZoneOut() {
+        if (arguments.zoneOutSeconds() == 0) {
+            return;
+        }
+        long begin = arguments.seconds() * MICROSECONDS_PER_SECOND / 4;
+        long end = begin + arguments.zoneOutSeconds() * MICROSECONDS_PER_SECOND;
+        fleet.line()
+                .after(begin, () -> fleet.change(shape.inventory(2, List.of(shape.zone(0))), MICROSECONDS_PER_SECOND));
+        fleet.line().after(end, () -> fleet.change(shape.inventory(3, List.of()), MICROSECONDS_PER_SECOND));
+    }
+
     private void sample() {
         probe.sample();
         utilisation.sample(probe);
--- a/mangowall-policy/src/main/java/org/mangowall/policy/core/ExchangeRole.java
+++ b/mangowall-policy/src/main/java/org/mangowall/policy/core/ExchangeRole.java
@@ -16,6 +16,9 @@
 
     private static final long URGENT_MILLISECONDS = 20;
     private static final int PERIODS_OF_FULL_EXCHANGE = 10;
+    private static final int MOST_RECEIVERS = 8;
+    private static final int MOST_RECEIVERS_OF_ALL_SERVICES = 12;
+    private static final int FEWEST_RECEIVERS = 2;
 
     private final CoreContext context;
     private final HomeRole home;
@@ -39,7 +42,7 @@
         private int waiting;
         private double headTag = Double.POSITIVE_INFINITY;
         private int exchanges;
-        private List<RouterName> receivers = List.of();
+        private List<RouterName> others = List.of();
     }
 
     /** The state of a service may have changed. */
@@ -72,26 +75,29 @@
     }
 
     private void tell(ServiceState service, Told last) {
-        List<RouterName> receivers = receivers(service.name());
-        if (receivers.isEmpty()) {
+        List<RouterName> others = others(service.name());
+        if (others.isEmpty()) {
             return;
         }
+        int fanOut = Math.min(others.size(), fanOut());
+        int rotation = (others.size() + fanOut - 1) / fanOut;
+        service.rotateExchangesOver(rotation);
         int free = service.pool().free(context.now());
         int waiting = service.queue().size();
         double headTag = service.queue().headTag();
-        boolean full = last.exchanges % PERIODS_OF_FULL_EXCHANGE == 0 || !receivers.equals(last.receivers);
+        boolean full = last.exchanges % (PERIODS_OF_FULL_EXCHANGE * rotation) < rotation || !others.equals(last.others);
         List<WorkspaceShare> shares =
-                service.ledger().takeShares(service.queue().sizes(), full);
+                service.ledger().takeShares(service.queue().sizes(), full ? Integer.MAX_VALUE : rotation);
         boolean same = shares.isEmpty() && free == last.free && waiting == last.waiting && headTag == last.headTag;
         last.at = context.now();
         last.exchanges++;
-        if (same) {
+        if (same && rotation == 1) {
             return;
         }
         last.free = free;
         last.waiting = waiting;
         last.headTag = headTag;
-        last.receivers = receivers;
+        last.others = others;
         sequence++;
         ServiceExchange exchange = new ServiceExchange(
                 context.self(),
@@ -102,10 +108,24 @@
                 waiting,
                 headTag,
                 shares);
-        receivers.forEach(receiver -> context.act(new DecisionAction.SendExchange(receiver, exchange)));
+        int start = (int) ((long) last.exchanges * fanOut % others.size());
+        for (int step = 0; step < fanOut; step++) {
+            RouterName receiver = others.get((start + step) % others.size());
+            context.act(new DecisionAction.SendExchange(receiver, exchange));
+        }
+    }
+
+    /** How many others are told at a time; the rest follows in turn, so that the bytes stay within their bound. */
+    private int fanOut() {
+        int services = 0;
+        for (ServiceState service : home.services()) {
+            services += others(service.name()).isEmpty() ? 0 : 1;
+        }
+        int each = MOST_RECEIVERS_OF_ALL_SERVICES / Math.max(1, services);
+        return Math.min(MOST_RECEIVERS, Math.max(FEWEST_RECEIVERS, each));
     }
 
-    private List<RouterName> receivers(ServiceName service) {
+    private List<RouterName> others(ServiceName service) {
         if (!context.assignment().homesOf(service).contains(context.self())) {
             return List.of();
         }
--- a/mangowall-policy/src/main/java/org/mangowall/policy/core/GapBound.java
+++ b/mangowall-policy/src/main/java/org/mangowall/policy/core/GapBound.java
@@ -21,7 +21,8 @@
             slots += home.slots();
         }
         ShareLedger ledger = service.ledger();
-        double staleness = context.traits().exchangePeriod().toMillis() / MILLISECONDS_PER_SECOND + DELAY_SECONDS;
+        double period = context.traits().exchangePeriod().toMillis() / MILLISECONDS_PER_SECOND;
+        double staleness = service.exchangeRotation() * period + DELAY_SECONDS;
         double unseen = staleness * ledger.servedPerSecond(context.now());
         double running = 2 * slots * ledger.largestCost() / backlog.weights();
         return unseen + running + 2 * ledger.largestCost() / backlog.smallestWeight();
--- a/mangowall-policy/src/main/java/org/mangowall/policy/core/HomeAssignment.java
+++ b/mangowall-policy/src/main/java/org/mangowall/policy/core/HomeAssignment.java
@@ -26,17 +26,21 @@
 /**
  * Which router is home of which runner, by rendezvous hashing.
  *
- * <p>A runner's home stands in its availability zone, or, when no router lives there, in another zone of the region,
- * open zones first, or at last anywhere.
+ * <p>The runners of one service in one zone are dealt out among a small group of routers, so that a service has few
+ * homes, which need to exchange little. A runner's home stands in its availability zone, or, when no router lives
+ * there, in another zone of the region, open zones first, or at last anywhere.
  */
 final class HomeAssignment {
 
     private static final Hasher64 HASHER = Hashing.xxh3_64();
+    private static final int RUNNERS_OF_A_HOME = 8;
+    private static final int SMALLEST_GROUP = 2;
 
     private final Map<RunnerName, RouterName> homes = new TreeMap<>();
     private final Map<ServiceName, Map<RouterName, HomeCapacity>> openHomes = new TreeMap<>();
     private final Map<ServiceName, TreeSet<RouterName>> allHomes = new TreeMap<>();
     private final Map<RouterName, ZoneName> zoneOfRouter = new TreeMap<>();
+    private final Map<String, List<RouterName>> groups = new TreeMap<>();
 
     private final TreeSet<RouterName> unreachable = new TreeSet<>();
 
@@ -79,7 +83,7 @@
     }
 
     private void assign(Inventory inventory, Runner runner, Map<ZoneName, List<RouterName>> candidates) {
-        RouterName home = choose(runner.name().value(), nearest(inventory, runner.zone(), candidates));
+        RouterName home = choose(runner.name().value(), group(inventory, runner, candidates));
         homes.put(runner.name(), home);
         allHomes.computeIfAbsent(runner.service(), service -> new TreeSet<>()).add(home);
         if (!inventory.isOpen(runner) || unreachable.contains(home)) {
@@ -90,6 +94,26 @@
                 .merge(home, new HomeCapacity(home, zoneOfRouter.get(home), runner.slots()), HomeCapacity::plus);
     }
 
+    /** The few routers near a runner among which its service's runners in the zone are dealt out. */
+    private List<RouterName> group(Inventory inventory, Runner runner, Map<ZoneName, List<RouterName>> candidates) {
+        String key = runner.service().value() + ' ' + runner.zone().value();
+        return groups.computeIfAbsent(key, absent -> {
+            long runners = inventory.runnersOf(runner.service()).stream()
+                    .filter(other -> other.zone().equals(runner.zone()))
+                    .count();
+            long size = Math.max(SMALLEST_GROUP, (runners + RUNNERS_OF_A_HOME - 1) / RUNNERS_OF_A_HOME);
+            return nearest(inventory, runner.zone(), candidates).stream()
+                    .sorted(byHash(key).reversed())
+                    .limit(size)
+                    .toList();
+        });
+    }
+
+    private static Comparator<RouterName> byHash(String key) {
+        return Comparator.comparingLong((RouterName router) -> hash(key, router.value()))
+                .thenComparing(Comparator.naturalOrder());
+    }
+
     private static List<RouterName> nearest(
             Inventory inventory, ZoneName wanted, Map<ZoneName, List<RouterName>> candidates) {
         List<RouterName> same = candidates.get(wanted);
@@ -110,10 +134,7 @@
     }
 
     private static RouterName choose(String key, Collection<RouterName> candidates) {
-        return candidates.stream()
-                .max(Comparator.comparingLong((RouterName router) -> hash(key, router.value()))
-                        .thenComparing(Comparator.naturalOrder()))
-                .orElseThrow();
+        return candidates.stream().max(byHash(key)).orElseThrow();
     }
 
     private static long hash(String key, String candidate) {
--- a/mangowall-policy/src/main/java/org/mangowall/policy/core/PolicyTraits.java
+++ b/mangowall-policy/src/main/java/org/mangowall/policy/core/PolicyTraits.java
@@ -21,7 +21,7 @@
         Duration exchangePeriod) {
 
     /** The usual time between two exchanges. */
-    public static final Duration EXCHANGE_PERIOD = Duration.ofMillis(500);
+    public static final Duration EXCHANGE_PERIOD = Duration.ofMillis(1000);
 
     /** Fair shares over the whole fleet. */
     public static PolicyTraits fair() {
--- a/mangowall-policy/src/main/java/org/mangowall/policy/core/ServiceState.java
+++ b/mangowall-policy/src/main/java/org/mangowall/policy/core/ServiceState.java
@@ -15,6 +15,7 @@
     private final WaitingQueue queue;
     private final RunnerPool pool;
     private final RetryBudget retryBudget = new RetryBudget();
+    private int exchangeRotation = 1;
     private long lastDispatch;
     private double dispatchInterval = LONGEST_INTERVAL_MILLISECONDS;
 
@@ -45,6 +46,15 @@
         return retryBudget;
     }
 
+    /** The exchanges that it takes until all other homes are told once. */
+    int exchangeRotation() {
+        return exchangeRotation;
+    }
+
+    void rotateExchangesOver(int exchanges) {
+        exchangeRotation = exchanges;
+    }
+
     void countDispatch(long now) {
         long interval = Math.min(LONGEST_INTERVAL_MILLISECONDS, now - lastDispatch);
         lastDispatch = now;
--- a/mangowall-policy/src/main/java/org/mangowall/policy/share/ShareLedger.java
+++ b/mangowall-policy/src/main/java/org/mangowall/policy/share/ShareLedger.java
@@ -122,17 +122,17 @@
     }
 
     /**
-     * The shares to tell others; forgets which ones have changed.
+     * The shares to tell others.
      *
      * @param waiting the waiting requests by workspace
-     * @param all whether to tell unchanged ones too
+     * @param calls tells the shares that have changed since so many calls ago
      */
-    public List<WorkspaceShare> takeShares(Map<WorkspaceName, Integer> waiting, boolean all) {
+    public List<WorkspaceShare> takeShares(Map<WorkspaceName, Integer> waiting, int calls) {
         List<WorkspaceShare> shares = new ArrayList<>();
         for (WorkspaceAccount account : accounts.values()) {
             int count = waiting.getOrDefault(account.workspace(), 0);
-            boolean changed = account.takeChanged();
-            if (changed || all || count > 0) {
+            int unchangedCalls = account.countUnchangedCalls();
+            if (unchangedCalls < calls || count > 0) {
                 shares.add(new WorkspaceShare(
                         account.workspace(), count, account.charged(), account.refunded(), account.lift()));
             }
--- a/mangowall-policy/src/main/java/org/mangowall/policy/share/WorkspaceAccount.java
+++ b/mangowall-policy/src/main/java/org/mangowall/policy/share/WorkspaceAccount.java
@@ -18,6 +18,7 @@
     private double othersNet;
     private long lastBacklogged = Long.MIN_VALUE / 2;
     private boolean changed;
+    private int unchangedCalls = Integer.MAX_VALUE / 2;
 
     WorkspaceAccount(WorkspaceName workspace) {
         this.workspace = workspace;
@@ -98,10 +99,11 @@
         return lastBacklogged;
     }
 
-    boolean takeChanged() {
-        boolean was = changed;
+    /** How often this was called since the last change, 0 for the first time. */
+    int countUnchangedCalls() {
+        unchangedCalls = changed ? 0 : unchangedCalls + 1;
         changed = false;
-        return was;
+        return unchangedCalls;
     }
 
     /** One incarnation of another router. */
