Hold answers back by a window for each request

Cause: a 64 MiB answer to a slow caller piled up in the entry until it was cut at 4 MiB; switching automatic reading off at the runner's connection did nothing, as the client library asks for the next read itself after each one. Change: an answer may have 128 KiB under way between its origin and its caller; the entry tells the home what its caller has taken, and a gate on the runner's connection stops reading until then. Conclusion: a slow caller costs a bounded amount of memory and stalls nobody else.

--- a/mangowall-protocol/src/main/java/org/mangowall/protocol/MessageDecoder.java
+++ b/mangowall-protocol/src/main/java/org/mangowall/protocol/MessageDecoder.java
@@ -52,7 +52,7 @@
                         values.request(), values.constant(ClaimVerdict.values()), values.optionalAnswer());
             case CLAIM_SETTLED ->
                 new PeerMessage.ClaimSettled(values.request(), values.text(), values.flag(), values.optionalAnswer());
-            case ANSWER_FLOW -> new PeerMessage.AnswerFlow(values.request(), values.flag());
+            case ANSWER_FLOW -> new PeerMessage.AnswerFlow(values.request(), values.number());
             case HEARTBEAT -> new PeerMessage.Heartbeat(values.number(), values.flag());
         };
     }
--- a/mangowall-protocol/src/main/java/org/mangowall/protocol/MessageEncoder.java
+++ b/mangowall-protocol/src/main/java/org/mangowall/protocol/MessageEncoder.java
@@ -25,7 +25,7 @@
             case PeerMessage.AnswerEnd end -> values.request(end.request()).number(end.bodyBytes());
             case PeerMessage.RefusalNotice refusal ->
                 values.request(refusal.request()).text(refusal.code().code()).number(refusal.retryAfterMillis());
-            case PeerMessage.AnswerFlow flow -> values.request(flow.request()).flag(flow.held());
+            case PeerMessage.AnswerFlow flow -> values.request(flow.request()).number(flow.takenBytes());
             case PeerMessage.Heartbeat heartbeat ->
                 values.number(heartbeat.sequence()).flag(heartbeat.asks());
             case PeerMessage.Exchange exchange -> values.exchange(exchange.exchange());
--- a/mangowall-protocol/src/main/java/org/mangowall/protocol/PeerMessage.java
+++ b/mangowall-protocol/src/main/java/org/mangowall/protocol/PeerMessage.java
@@ -58,8 +58,8 @@
     /** Home to entry: the request ended with a failure. */
     record RefusalNotice(RequestIdentifier request, FailureCode code, long retryAfterMillis) implements PeerMessage {}
 
-    /** Entry to home: hold the answer back, or go on with it, because the caller reads slowly. */
-    record AnswerFlow(RequestIdentifier request, boolean held) implements PeerMessage {}
+    /** Entry to home: the caller has taken so many bytes of the answer's body; the home may send a window more. */
+    record AnswerFlow(RequestIdentifier request, long takenBytes) implements PeerMessage {}
 
     /** A sign of life on a connection that has been silent; one that asks is answered by one that does not. */
     record Heartbeat(long sequence, boolean asks) implements PeerMessage {}
--- a/mangowall-router/src/main/java/org/mangowall/router/PeerDispatcher.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/PeerDispatcher.java
@@ -51,7 +51,7 @@
         switch (message) {
             case PeerMessage.ForwardRequest forward -> homeDesk.forwarded(connection, forward);
             case PeerMessage.CancelRequest cancel -> homeDesk.cancelled(connection, cancel);
-            case PeerMessage.AnswerFlow flow -> homeDesk.held(connection, flow);
+            case PeerMessage.AnswerFlow flow -> homeDesk.taken(connection, flow);
             case PeerMessage.ReleaseRequest release -> released(connection, release);
             case PeerMessage.AnswerHead head -> {
                 EntryRequest request = entry(head.request(), MessageType.ANSWER_HEAD);
--- a/mangowall-router/src/main/java/org/mangowall/router/caller/CallerExchange.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/caller/CallerExchange.java
@@ -85,9 +85,14 @@
         return status != HttpResponseStatus.NO_CONTENT.code() && status != HttpResponseStatus.NOT_MODIFIED.code();
     }
 
-    /** Passes a piece of the body. */
-    void body(byte[] bytes) {
-        channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
+    /** Passes a piece of the body, and says when the caller's connection has taken it. */
+    void body(byte[] bytes, Runnable whenTaken) {
+        channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
+                .addListener(written -> {
+                    if (written.isSuccess()) {
+                        whenTaken.run();
+                    }
+                });
     }
 
     /** Ends a whole answer. */
--- a/mangowall-router/src/main/java/org/mangowall/router/caller/CallerHandler.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/caller/CallerHandler.java
@@ -136,13 +136,6 @@
         }
     }
 
-    @Override
-    public void channelWritabilityChanged(ChannelHandlerContext context) {
-        if (current != null) {
-            current.writabilityChanged();
-        }
-    }
-
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
         if (event instanceof IdleStateEvent && !busy) {
--- a/mangowall-router/src/main/java/org/mangowall/router/caller/EntryRequest.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/caller/EntryRequest.java
@@ -6,6 +6,7 @@
 
 import org.mangowall.kernel.failure.FailureCode;
 import org.mangowall.kernel.failure.RequestOutcome;
+import org.mangowall.kernel.log.PartLog;
 import org.mangowall.kernel.name.RunnerName;
 import org.mangowall.policy.RequestDescription;
 import org.mangowall.policy.event.DecisionEvent;
@@ -24,6 +25,7 @@
  */
 public final class EntryRequest {
 
+    private static final PartLog LOG = PartLog.of("entry");
     private static final long MAXIMUM_UNSENT_BYTES = 4L * 1024 * 1024;
 
     private final EntryDesk desk;
@@ -35,6 +37,8 @@
     private volatile RequestContent content;
     private volatile AnswerOrigin origin;
     private long answerBytes;
+    private long takenBytes;
+    private long reportedBytes;
     private volatile boolean ended;
 
     EntryRequest(
@@ -65,9 +69,9 @@
         return bodyBytes;
     }
 
-    /** Whether the caller takes more of the answer without piling it up. */
-    public boolean isWritable() {
-        return ended || exchange.channel().isWritable();
+    /** Whether it is over for the caller. */
+    public boolean isEnded() {
+        return ended;
     }
 
     /** Says where the answer is to come from now. */
@@ -142,14 +146,24 @@
             }
             answerBytes += bytes.length;
             claim.ifPresent(hold -> hold.body(bytes));
-            exchange.body(bytes);
+            exchange.body(bytes, () -> taken(from, bytes.length));
             if (exchange.channel().bytesBeforeWritable() > MAXIMUM_UNSENT_BYTES) {
+                LOG.warn("request %s is cut, its caller takes nothing and its home goes on", description.identifier());
                 desk.left(this);
                 exchange.channel().close();
             }
         });
     }
 
+    /** Bytes went out to the caller; the origin is told now and then, so that it can go on. */
+    private void taken(AnswerOrigin from, int bytes) {
+        takenBytes += bytes;
+        if (origin == from && takenBytes - reportedBytes >= AnswerOrigin.WINDOW_BYTES / 4) {
+            reportedBytes = takenBytes;
+            from.taken(description.identifier(), takenBytes);
+        }
+    }
+
     /** The answer is whole, if its length is that which the home counted. */
     public void answerEnd(AnswerOrigin from, long expectedBytes) {
         run(() -> {
@@ -205,7 +219,7 @@
             }
             finish(RequestOutcome.COMPLETE, "replayed");
             exchange.head(description.identifier().toString(), "none", answer.status(), answer.headers());
-            exchange.body(answer.body());
+            exchange.body(answer.body(), () -> {});
             exchange.end();
         });
     }
@@ -229,7 +243,7 @@
         if (last instanceof PeerConnection connection) {
             connection.requestClosed();
         } else if (last != null) {
-            last.hold(description.identifier(), false);
+            last.taken(description.identifier(), takenBytes);
         }
         desk.ended(this, outcome, code);
     }
@@ -241,11 +255,4 @@
         origin = null;
         return last;
     }
-
-    void writabilityChanged() {
-        AnswerOrigin from = origin;
-        if (from != null) {
-            from.hold(description.identifier(), !isWritable());
-        }
-    }
 }
--- a/mangowall-router/src/main/java/org/mangowall/router/home/HomeDesk.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/home/HomeDesk.java
@@ -101,15 +101,15 @@
         }
     }
 
-    /** The entry router's caller reads slowly, or goes on. */
-    public void held(PeerConnection connection, PeerMessage.AnswerFlow message) {
+    /** The entry router's caller has taken more of its answer. */
+    public void taken(PeerConnection connection, PeerMessage.AnswerFlow message) {
         RemoteRequest request = remoteRequests.get(message.request());
         RunnerCall call = calls.get(message.request());
         if (request == null || request.connection() != connection) {
             metrics.lateFrame(MessageType.ANSWER_FLOW);
             return;
         }
-        request.answer().setHeld(message.held());
+        request.answer().taken(message.takenBytes());
         if (call != null) {
             call.resumeIfReady();
         }
--- a/mangowall-router/src/main/java/org/mangowall/router/home/LocalAnswer.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/home/LocalAnswer.java
@@ -15,6 +15,8 @@
 
     private final EntryRequest entry;
     private volatile RunnerCall call;
+    private volatile long takenBytes;
+    private volatile long sentBytes;
 
     LocalAnswer(EntryRequest entry) {
         this.entry = entry;
@@ -31,6 +33,7 @@
 
     @Override
     public void body(byte[] bytes) {
+        sentBytes += bytes.length;
         entry.answerBody(this, bytes);
     }
 
@@ -41,13 +44,14 @@
 
     @Override
     public boolean isReady() {
-        return entry.isWritable();
+        return entry.isEnded() || sentBytes - takenBytes < WINDOW_BYTES;
     }
 
     @Override
-    public void hold(RequestIdentifier request, boolean held) {
+    public void taken(RequestIdentifier request, long bytes) {
+        takenBytes = Math.max(takenBytes, bytes);
         RunnerCall running = call;
-        if (running != null && !held) {
+        if (running != null) {
             running.resumeIfReady();
         }
     }
--- a/mangowall-router/src/main/java/org/mangowall/router/home/RemoteAnswer.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/home/RemoteAnswer.java
@@ -7,6 +7,7 @@
 import org.mangowall.protocol.HeaderField;
 import org.mangowall.protocol.PeerMessage;
 import org.mangowall.router.peer.PeerConnection;
+import org.mangowall.router.runner.AnswerOrigin;
 import org.mangowall.router.runner.AnswerSink;
 
 /** Passes an answer to the entry router of its request, on the connection on which the request came. */
@@ -14,7 +15,8 @@
 
     private final RequestIdentifier request;
     private final PeerConnection connection;
-    private volatile boolean held;
+    private volatile long takenBytes;
+    private volatile long sentBytes;
     private volatile boolean closed;
 
     RemoteAnswer(RequestIdentifier request, PeerConnection connection) {
@@ -22,8 +24,8 @@
         this.connection = connection;
     }
 
-    void setHeld(boolean isHeld) {
-        held = isHeld;
+    void taken(long bytes) {
+        takenBytes = Math.max(takenBytes, bytes);
     }
 
     /** Nobody waits for the answer any more; what still comes of it is dropped. */
@@ -44,6 +46,7 @@
 
     @Override
     public void body(byte[] bytes) {
+        sentBytes += bytes.length;
         send(new PeerMessage.AnswerBody(request, bytes));
     }
 
@@ -54,6 +57,6 @@
 
     @Override
     public boolean isReady() {
-        return closed || !held && connection.isWritable();
+        return closed || sentBytes - takenBytes < AnswerOrigin.WINDOW_BYTES && connection.isWritable();
     }
 }
--- a/mangowall-router/src/main/java/org/mangowall/router/peer/PeerConnection.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/peer/PeerConnection.java
@@ -77,8 +77,8 @@
     }
 
     @Override
-    public void hold(RequestIdentifier request, boolean held) {
-        send(new PeerMessage.AnswerFlow(request, held));
+    public void taken(RequestIdentifier request, long takenBytes) {
+        send(new PeerMessage.AnswerFlow(request, takenBytes));
     }
 
     /** Closes the connection. */
--- a/mangowall-router/src/main/java/org/mangowall/router/runner/RunnerCall.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/runner/RunnerCall.java
@@ -93,7 +93,7 @@
         held = hold;
         onChannel(open -> {
             lastProgressMillis = clock.millis();
-            open.config().setAutoRead(!held);
+            ReadGate.set(open, held);
         });
     }
 
@@ -257,7 +257,7 @@
     private void restoreReading() {
         Channel open = channel;
         if (open != null) {
-            open.config().setAutoRead(true);
+            ReadGate.set(open, false);
         }
     }
 }
--- a/mangowall-router/src/main/java/org/mangowall/router/runner/RunnerClient.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/runner/RunnerClient.java
@@ -65,6 +65,8 @@
                 .setTcpNoDelay(true)
                 .setConnectTimeout(settings.connectTimeout())
                 .setPooledConnectionIdleTimeout(settings.pooledIdleTimeout())
+                .setHttpAdditionalChannelInitializer(
+                        channel -> channel.pipeline().addFirst(new ReadGate()))
                 .setRequestTimeout(NO_TIMEOUT)
                 .setReadTimeout(NO_TIMEOUT)
                 .build());
--- /dev/null
+++ b/mangowall-router/src/test/java/org/mangowall/router/RawCaller.java
@@ -0,0 +1,77 @@
+package org.mangowall.router;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+
+/** A caller that writes what it likes and sees every byte of the answer. */
+final class RawCaller implements AutoCloseable {
+
+    private static final int READ_TIMEOUT_MILLIS = 20_000;
+
+    private final Socket socket;
+
+    RawCaller(int port) throws IOException {
+        this.socket = new Socket(InetAddress.getLoopbackAddress(), port);
+        this.socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+    }
+
+    static String chat(String body) {
+        return "POST /v1/chat/completions HTTP/1.1\r\nhost: h\r\nx-workspace: school\r\ncontent-length: "
+                + body.length() + "\r\n\r\n" + body;
+    }
+
+    static String plain(String method, String path, String body) {
+        return method + " /services/register" + path + " HTTP/1.1\r\nhost: h\r\nx-workspace: school\r\ncontent-length: "
+                + body.length() + "\r\n\r\n" + body;
+    }
+
+    RawCaller send(String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        socket.getOutputStream().flush();
+        return this;
+    }
+
+    /** Reads until the router closes the connection. */
+    String readToEnd() throws IOException {
+        return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+    }
+
+    /** Reads until the text has come. */
+    String readUntil(String end) throws IOException {
+        InputStream in = socket.getInputStream();
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        while (!bytes.toString(StandardCharsets.UTF_8).endsWith(end)) {
+            int next = in.read();
+            if (next < 0) {
+                throw new IOException("the connection ended after: " + bytes.toString(StandardCharsets.UTF_8));
+            }
+            bytes.write(next);
+        }
+        return bytes.toString(StandardCharsets.UTF_8);
+    }
+
+    /** Reads one answer with a content length. */
+    String readAnswer() throws IOException {
+        String head = readUntil("\r\n\r\n");
+        int at = head.toLowerCase(java.util.Locale.ROOT).indexOf("content-length: ");
+        int length = Integer.parseInt(head.substring(at + 16, head.indexOf("\r\n", at)));
+        return head + new String(socket.getInputStream().readNBytes(length), StandardCharsets.UTF_8);
+    }
+
+    void endOutput() throws IOException {
+        socket.shutdownOutput();
+    }
+
+    InputStream input() throws IOException {
+        return socket.getInputStream();
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+}
--- /dev/null
+++ b/mangowall-router/src/test/java/org/mangowall/router/RunnerFailureTest.java
@@ -0,0 +1,195 @@
+package org.mangowall.router;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.net.http.HttpResponse;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Each failure of a runner, seen by a caller of its home (router 0) and of another router (router 1). */
+class RunnerFailureTest {
+
+    private static final String CHAT = "{\"model\":\"writer\",\"messages\":[],\"stream\":true}";
+    private static final String STREAM_HEAD =
+            "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+
+    private static void assertOutcome(int status, String code, String outcome, HttpResponse<String> answer) {
+        assertEquals(status, answer.statusCode(), answer.body());
+        assertTrue(answer.body().contains("\"code\":\"" + code + "\""), answer.body());
+        assertEquals(outcome, answer.headers().firstValue("x-mangowall-outcome").orElse(""));
+        assertEquals(
+                "application/problem+json",
+                answer.headers().firstValue("content-type").orElse(""));
+    }
+
+    private static int closedPort() throws IOException {
+        try (FakeRunner runner = FakeRunner.echo()) {
+            return runner.port();
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1})
+    void aRunnerThatIsNotThereGivesNotRun(int router) throws Exception {
+        try (TestFleet fleet = TestFleet.of(2, TestFleet.inventory(closedPort(), closedPort()))) {
+            assertOutcome(503, "retries-exhausted", "not-run", fleet.post(router, "/services/register/entries", "one"));
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1})
+    void aRunnerThatDidNotRunItGivesNotRun(int router) throws Exception {
+        try (FakeRunner plain = new FakeRunner((call, socket) ->
+                        FakeRunner.send(socket, "503 Service Unavailable", "x-not-run: yes\r\n", "busy"));
+                TestFleet fleet = TestFleet.of(2, TestFleet.inventory(closedPort(), plain.port()))) {
+            assertOutcome(503, "retries-exhausted", "not-run", fleet.post(router, "/services/register/entries", "one"));
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1})
+    void aConnectionThatBreaksGivesUnknownAndOneTry(int router) throws Exception {
+        try (FakeRunner plain = new FakeRunner((call, socket) -> socket.close());
+                TestFleet fleet = TestFleet.of(2, TestFleet.inventory(closedPort(), plain.port()))) {
+            assertOutcome(
+                    502, "runner-connection-lost", "unknown", fleet.post(router, "/services/register/entries", "one"));
+            assertEquals(1, plain.calls().size());
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1})
+    void aSilentRunnerGivesUnknownOneTryAndAClosedConnection(int router) throws Exception {
+        CompletableFuture<Integer> nextByte = new CompletableFuture<>();
+        try (FakeRunner plain = new FakeRunner((call, socket) -> nextByte.complete(readOne(socket)));
+                TestFleet fleet = TestFleet.of(2, TestFleet.inventory(closedPort(), plain.port()))) {
+            assertOutcome(504, "runner-timeout", "unknown", fleet.post(router, "/services/register/entries", "one"));
+            assertEquals(-1, nextByte.get(10, TimeUnit.SECONDS));
+            assertEquals(1, plain.calls().size());
+        }
+    }
+
+    private static int readOne(Socket socket) {
+        try {
+            return socket.getInputStream().read();
+        } catch (IOException reset) {
+            return -1;
+        }
+    }
+
+    private static void assertVisiblyCut(int router, FakeRunner.Script script) throws Exception {
+        try (FakeRunner model = new FakeRunner(script);
+                TestFleet fleet = TestFleet.of(2, TestFleet.inventory(model.port(), closedPort()));
+                RawCaller caller = new RawCaller(fleet.router(router).callerPort())) {
+            String answer = caller.send(RawCaller.chat(CHAT)).readToEnd();
+            assertTrue(answer.startsWith("HTTP/1.1 200 OK"), answer);
+            assertTrue(answer.contains("data: one"), answer);
+            assertTrue(answer.contains("event: error\ndata: {"), answer);
+            assertTrue(answer.contains("\"outcome\":\"unknown\""), answer);
+            assertFalse(answer.endsWith("0\r\n\r\n"), answer);
+            assertEquals(1, model.calls().size());
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1})
+    void aStreamThatBreaksIsVisiblyCut(int router) throws Exception {
+        assertVisiblyCut(router, (call, socket) -> {
+            FakeRunner.write(socket, STREAM_HEAD);
+            FakeRunner.chunk(socket, "data: one\n\n");
+            socket.close();
+        });
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1})
+    void aStreamWithoutItsLastEventIsVisiblyCut(int router) throws Exception {
+        assertVisiblyCut(router, (call, socket) -> {
+            FakeRunner.write(socket, STREAM_HEAD);
+            FakeRunner.chunk(socket, "data: one\n\n");
+            FakeRunner.write(socket, "0\r\n\r\n");
+        });
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1})
+    void aStreamThatStopsIsVisiblyCut(int router) throws Exception {
+        assertVisiblyCut(router, (call, socket) -> {
+            FakeRunner.write(socket, STREAM_HEAD);
+            FakeRunner.chunk(socket, "data: one\n\n");
+            readOne(socket);
+        });
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1})
+    void aBodyShorterThanItsLengthIsVisiblyCut(int router) throws Exception {
+        try (FakeRunner plain = new FakeRunner((call, socket) -> {
+                    FakeRunner.write(socket, "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhalf");
+                    socket.close();
+                });
+                TestFleet fleet = TestFleet.of(2, TestFleet.inventory(closedPort(), plain.port()));
+                RawCaller caller = new RawCaller(fleet.router(router).callerPort())) {
+            String answer =
+                    caller.send(RawCaller.plain("POST", "/entries", "one")).readToEnd();
+            assertTrue(answer.contains("content-length: 10"), answer);
+            assertTrue(answer.endsWith("\r\n\r\nhalf"), answer);
+            assertEquals(1, plain.calls().size());
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1})
+    void aCallerWhoLeavesStopsTheModel(int router) throws Exception {
+        CompletableFuture<Integer> nextByte = new CompletableFuture<>();
+        try (FakeRunner model = new FakeRunner((call, socket) -> {
+                    FakeRunner.write(socket, STREAM_HEAD);
+                    FakeRunner.chunk(socket, "data: one\n\n");
+                    nextByte.complete(readOne(socket));
+                });
+                TestFleet fleet = TestFleet.of(2, TestFleet.inventory(model.port(), closedPort()))) {
+            try (RawCaller caller = new RawCaller(fleet.router(router).callerPort())) {
+                caller.send(RawCaller.chat(CHAT)).readUntil("data: one\n\n");
+            }
+            assertEquals(-1, nextByte.get(10, TimeUnit.SECONDS));
+        }
+    }
+
+    @Test
+    void redirectsAreTheCallersToFollow() throws Exception {
+        try (FakeRunner plain = new FakeRunner((call, socket) ->
+                        FakeRunner.send(socket, "302 Found", "location: /services/register/other\r\n", ""));
+                TestFleet fleet = TestFleet.of(1, TestFleet.inventory(closedPort(), plain.port()))) {
+            HttpResponse<String> answer = fleet.post(0, "/services/register/entries", "one");
+            assertEquals(302, answer.statusCode());
+            assertEquals(1, plain.calls().size());
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1})
+    void aRepeatableCallSurvivesAConnectionThatTheRunnerClosed(int router) throws Exception {
+        try (FakeRunner plain = new FakeRunner((call, socket) -> {
+                    FakeRunner.send(socket, "200 OK", "", call.path());
+                    socket.close();
+                });
+                TestFleet fleet = TestFleet.of(2, TestFleet.inventory(closedPort(), plain.port()))) {
+            for (int call = 0; call < 20; call++) {
+                HttpResponse<String> answer = fleet.client()
+                        .send(
+                                fleet.request(router, "/services/register/page" + call)
+                                        .build(),
+                                HttpResponse.BodyHandlers.ofString());
+                assertEquals("/page" + call, answer.body());
+            }
+        }
+    }
+}
