--- a/mangowall-router/src/main/java/org/mangowall/router/runner/ReadGate.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/runner/ReadGate.java
@@ -7,8 +7,8 @@
 /**
  * Stops the reading of a connection to a runner.
  *
- * <p>Switching automatic reading off is not enough, for the client library asks for the next read itself after each one.
- * Confined to the thread of the connection.
+ * <p>Switching automatic reading off is not enough, for the client library asks for the next read itself after each
+ * one. Confined to the thread of the connection.
  */
 final class ReadGate extends ChannelOutboundHandlerAdapter {
 
