--- a/mangowall-policy/src/main/java/org/mangowall/policy/fleet/FleetMember.java
+++ b/mangowall-policy/src/main/java/org/mangowall/policy/fleet/FleetMember.java
@@ -13,6 +13,7 @@
  * @param callerPort the TCP port for callers
  * @param peerPort the TCP port for other routers
  * @param state how it is seen
+ * @param revision grows within an incarnation when the router refutes a suspicion or begins to leave
  */
 public record FleetMember(
         RouterName name,
@@ -21,11 +22,29 @@
         String host,
         int callerPort,
         int peerPort,
-        MemberState state) {
+        MemberState state,
+        int revision) {
+
+    /** A router at its first revision. */
+    public FleetMember(
+            RouterName name,
+            long incarnation,
+            ZoneName zone,
+            String host,
+            int callerPort,
+            int peerPort,
+            MemberState state) {
+        this(name, incarnation, zone, host, callerPort, peerPort, state, 0);
+    }
 
     /** The same router in another state. */
     public FleetMember withState(MemberState other) {
-        return new FleetMember(name, incarnation, zone, host, callerPort, peerPort, other);
+        return new FleetMember(name, incarnation, zone, host, callerPort, peerPort, other, revision);
+    }
+
+    /** The same router at another revision. */
+    public FleetMember withRevision(int other) {
+        return new FleetMember(name, incarnation, zone, host, callerPort, peerPort, state, other);
     }
 
     /** Whether it may be home to runners: alive, or only suspected. */
