Give members a revision and let a router ask for all members

Cause: a router that is wrongly suspected must be able to say so within one incarnation, for incarnations stand for starts of the process everywhere else. A router with empty state needs the whole list at once.

--- a/mangowall-membership/src/main/java/org/mangowall/membership/MembershipCore.java
+++ b/mangowall-membership/src/main/java/org/mangowall/membership/MembershipCore.java
@@ -197,8 +197,9 @@
         self = self.withState(state).withRevision(self.revision() + 1);
         spread(self);
         List<FleetMember> peers = new ArrayList<>(table.present(self.zone()));
-        table.zones().stream().filter(zone -> !zone.equals(self.zone())).forEach(zone -> peers.addAll(
-                table.present(zone)));
+        table.zones().stream()
+                .filter(zone -> !zone.equals(self.zone()))
+                .forEach(zone -> peers.addAll(table.present(zone)));
         peers.stream().limit(PEERS_TOLD_OF_LEAVING).forEach(peer -> probe(peer, clock.instant()));
     }
 
--- a/mangowall-membership/src/main/java/org/mangowall/membership/MissingRouters.java
+++ b/mangowall-membership/src/main/java/org/mangowall/membership/MissingRouters.java
@@ -25,9 +25,7 @@
     /** Takes the platform's list in place of the one before. */
     void list(List<HostCandidate> hosts) {
         Map<RouterName, HostCandidate> listed = new LinkedHashMap<>();
-        hosts.stream()
-                .filter(host -> !host.name().equals(self.name()))
-                .forEach(host -> listed.put(host.name(), host));
+        hosts.stream().filter(host -> !host.name().equals(self.name())).forEach(host -> listed.put(host.name(), host));
         candidates = listed;
         hostsKnown = true;
     }
--- a/mangowall-membership/src/main/java/org/mangowall/membership/ProbeSchedule.java
+++ b/mangowall-membership/src/main/java/org/mangowall/membership/ProbeSchedule.java
@@ -59,7 +59,10 @@
     private int speakerRank(List<FleetMember> neighbours) {
         List<RouterName> names = new ArrayList<>();
         names.add(self.name());
-        neighbours.stream().filter(FleetMember::mayBeHome).map(FleetMember::name).forEach(names::add);
+        neighbours.stream()
+                .filter(FleetMember::mayBeHome)
+                .map(FleetMember::name)
+                .forEach(names::add);
         return Rendezvous.choose(SPEAKER_KEY, names, speakersPerZone).indexOf(self.name());
     }
 
@@ -90,7 +93,8 @@
         List<FleetMember> unsuspected = members.stream()
                 .filter(member -> member.state() != MemberState.SUSPECT)
                 .toList();
-        int start = Math.floorMod(period * EXTRA_PROBES_OF_TROUBLED_ZONES + self.name().hashCode(), members.size());
+        int start = Math.floorMod(
+                period * EXTRA_PROBES_OF_TROUBLED_ZONES + self.name().hashCode(), members.size());
         int count = Math.min(EXTRA_PROBES_OF_TROUBLED_ZONES, unsuspected.size());
         for (int index = 0; index < count; index++) {
             targets.add(unsuspected.get((start + index) % unsuspected.size()));
--- a/mangowall-membership/src/main/java/org/mangowall/membership/Rendezvous.java
+++ b/mangowall-membership/src/main/java/org/mangowall/membership/Rendezvous.java
@@ -6,7 +6,6 @@
 
 import com.dynatrace.hash4j.hashing.Hasher64;
 import com.dynatrace.hash4j.hashing.Hashing;
-
 import org.mangowall.kernel.name.RouterName;
 
 /** Highest-random-weight choice among routers: all routers with the same view choose the same ones. */
--- a/mangowall-protocol/src/main/java/org/mangowall/protocol/MessageDecoder.java
+++ b/mangowall-protocol/src/main/java/org/mangowall/protocol/MessageDecoder.java
@@ -52,6 +52,7 @@
                         values.request(), values.constant(ClaimVerdict.values()), values.optionalAnswer());
             case CLAIM_SETTLED ->
                 new PeerMessage.ClaimSettled(values.request(), values.text(), values.flag(), values.optionalAnswer());
+            case MEMBERS_ASK -> readMembersAsk();
         };
     }
 
@@ -60,6 +61,11 @@
         return new PeerMessage.CountersAsk();
     }
 
+    private PeerMessage readMembersAsk() throws IOException {
+        values.flag();
+        return new PeerMessage.MembersAsk();
+    }
+
     private FailureCode failureCode() throws IOException {
         FailureCode code = FAILURE_CODES.get(values.text());
         if (code == null) {
--- a/mangowall-protocol/src/main/java/org/mangowall/protocol/MessageEncoder.java
+++ b/mangowall-protocol/src/main/java/org/mangowall/protocol/MessageEncoder.java
@@ -30,6 +30,7 @@
                 values.text(pull.service()).number(pull.slots()).real(pull.belowTag());
             case PeerMessage.CountersAsk ask -> values.flag(true);
             case PeerMessage.Counters counters -> values.snapshot(counters.snapshot());
+            case PeerMessage.MembersAsk ask -> values.flag(true);
             case PeerMessage.Probe probe ->
                 values.number(probe.sequence())
                         .number(probe.configurationVersion())
--- a/mangowall-protocol/src/main/java/org/mangowall/protocol/MessageType.java
+++ b/mangowall-protocol/src/main/java/org/mangowall/protocol/MessageType.java
@@ -39,7 +39,9 @@
     /** {@link PeerMessage.ClaimAnswer}. */
     CLAIM_ANSWER(18),
     /** {@link PeerMessage.ClaimSettled}. */
-    CLAIM_SETTLED(19);
+    CLAIM_SETTLED(19),
+    /** {@link PeerMessage.MembersAsk}. */
+    MEMBERS_ASK(20);
 
     private static final MessageType[] BY_NUMBER = numbered();
 
@@ -92,6 +94,7 @@
             case PeerMessage.ClaimAsk ask -> CLAIM_ASK;
             case PeerMessage.ClaimAnswer answer -> CLAIM_ANSWER;
             case PeerMessage.ClaimSettled settled -> CLAIM_SETTLED;
+            case PeerMessage.MembersAsk ask -> MEMBERS_ASK;
         };
     }
 
--- a/mangowall-protocol/src/main/java/org/mangowall/protocol/PeerMessage.java
+++ b/mangowall-protocol/src/main/java/org/mangowall/protocol/PeerMessage.java
@@ -88,6 +88,9 @@
         }
     }
 
+    /** Asks for all members; they come in probe answers with sequence 0. */
+    record MembersAsk() implements PeerMessage {}
+
     /** Asks for the configuration when the receiver has a newer one. */
     record ConfigurationAsk(long haveVersion) implements PeerMessage {}
 
--- a/mangowall-protocol/src/main/java/org/mangowall/protocol/ValueDecoder.java
+++ b/mangowall-protocol/src/main/java/org/mangowall/protocol/ValueDecoder.java
@@ -127,7 +127,7 @@
 
     List<FleetMember> members() throws IOException {
         return list(() -> new FleetMember(
-                router(), number(), zone(), text(), integer(), integer(), constant(MemberState.values())));
+                router(), number(), zone(), text(), integer(), integer(), constant(MemberState.values()), integer()));
     }
 
     ServiceExchange exchange() throws IOException {
--- a/mangowall-protocol/src/main/java/org/mangowall/protocol/ValueEncoder.java
+++ b/mangowall-protocol/src/main/java/org/mangowall/protocol/ValueEncoder.java
@@ -106,7 +106,10 @@
 
     private void member(FleetMember member) throws IOException {
         text(member.name()).number(member.incarnation()).text(member.zone()).text(member.host());
-        number(member.callerPort()).number(member.peerPort()).constant(member.state());
+        number(member.callerPort())
+                .number(member.peerPort())
+                .constant(member.state())
+                .number(member.revision());
     }
 
     ValueEncoder exchange(ServiceExchange exchange) throws IOException {
