Find out who is in the fleet by probes, suspicion and refutation

Cause: the platform's host list lags, and nothing else may tell who is alive. Change: routers of a zone probe each other in a rotation by the clock; two speakers per zone probe other zones; news travels on probes, bounded in count; word of a death is believed only from the zone itself or a neighbour, and only after the same silence here; a router's own pause prolongs all silences.

--- a/mangowall-membership/src/main/java/org/mangowall/membership/MemberTable.java
+++ b/mangowall-membership/src/main/java/org/mangowall/membership/MemberTable.java
@@ -27,6 +27,7 @@
 
     private static final class Entry {
         private FleetMember member;
+        private Instant silentSince;
         private Instant silentDeadline;
         private Instant changed;
     }
@@ -67,7 +68,9 @@
     private static void set(Entry entry, FleetMember news, Instant now, Duration suspicionTimeout) {
         entry.member = news;
         entry.changed = now;
-        entry.silentDeadline = news.state() == MemberState.SUSPECT ? now.plus(suspicionTimeout) : null;
+        boolean suspected = news.state() == MemberState.SUSPECT;
+        entry.silentSince = suspected ? now : null;
+        entry.silentDeadline = suspected ? now.plus(suspicionTimeout) : null;
     }
 
     static boolean isNewer(FleetMember news, FleetMember known) {
@@ -86,6 +89,7 @@
         if (entry == null || entry.silentDeadline != null || entry.member.state() == MemberState.DEAD) {
             return Optional.empty();
         }
+        entry.silentSince = now;
         entry.silentDeadline = now.plus(suspicionTimeout);
         if (entry.member.state() == MemberState.LEAVING) {
             return Optional.empty();
@@ -95,6 +99,19 @@
         return Optional.of(entry.member);
     }
 
+    /** Whether another router's word that a member is dead suffices: it left, or was silent here for a while too. */
+    boolean believesDeath(FleetMember news, Instant now, Duration leastSilence) {
+        Entry entry = entries.get(news.name());
+        if (entry == null || entry.member.incarnation() != news.incarnation()) {
+            return true;
+        }
+        return switch (entry.member.state()) {
+            case LEAVING, DEAD -> true;
+            case ALIVE -> false;
+            case SUSPECT -> !entry.silentSince.plus(leastSilence).isAfter(now);
+        };
+    }
+
     /** Ends the silence of a leaving member that answered; a suspected one has to refute by its revision. */
     void answered(RouterName name) {
         Entry entry = entries.get(name);
--- a/mangowall-membership/src/main/java/org/mangowall/membership/MembershipCore.java
+++ b/mangowall-membership/src/main/java/org/mangowall/membership/MembershipCore.java
@@ -22,13 +22,15 @@
  */
 public final class MembershipCore {
 
+    private static final long LISTING_SEQUENCE = 0;
     private static final int MEMBERS_PER_PAGE = 32;
     private static final int REVIVAL_PERIODS = 5;
     private static final int JOIN_PROBES_PER_PERIOD = 3;
     private static final int JOIN_PERIODS_WITHOUT_ANSWER = 3;
     private static final int ASKED_PROBES_PER_TICK = 4;
     private static final int PEERS_TOLD_OF_LEAVING = 8;
-    private static final Duration MEMBERS_ASK_INTERVAL = Duration.ofSeconds(10);
+    private static final Duration FIRST_MEMBERS_ASK_INTERVAL = Duration.ofSeconds(4);
+    private static final Duration LAST_MEMBERS_ASK_INTERVAL = Duration.ofMinutes(5);
 
     private final Clock clock;
     private final MembershipSettings settings;
@@ -43,6 +45,7 @@
     private FleetView publishedView;
     private Instant lastTick;
     private Instant lastMembersAsk = Instant.EPOCH;
+    private Duration membersAskInterval = FIRST_MEMBERS_ASK_INTERVAL;
     private long lastPeriod;
     private long joinPeriods;
     private boolean viewChanged = true;
@@ -81,7 +84,6 @@
             }
             case MembershipEvent.ClockTicked tick -> tick();
         }
-        publishView();
         return List.copyOf(actions);
     }
 
@@ -96,7 +98,7 @@
     }
 
     private void answerProbe(MembershipEvent.ProbeReceived probe) {
-        probe.members().forEach(member -> mergeNews(probe.from(), member));
+        probe.members().forEach(member -> mergeNews(probe.from(), member, true));
         table.answered(probe.from());
         table.find(probe.from())
                 .ifPresent(peer -> actions.add(new MembershipAction.SendProbeAnswer(
@@ -105,11 +107,16 @@
 
     private void takeAnswer(MembershipEvent.ProbeAnswered answer) {
         ledger.answered(answer.from(), answer.sequence());
-        answer.members().forEach(member -> mergeNews(answer.from(), member));
+        boolean isNews = answer.sequence() != LISTING_SEQUENCE;
+        answer.members().forEach(member -> mergeNews(answer.from(), member, isNews));
         table.answered(answer.from());
         if (!joined) {
             join();
             askMembers(answer.from());
+        } else if (missing.hasUnknown(table)) {
+            askMembers(answer.from());
+        } else {
+            membersAskInterval = FIRST_MEMBERS_ASK_INTERVAL;
         }
     }
 
@@ -119,23 +126,32 @@
                 .toList();
         for (int start = 0; start < present.size(); start += MEMBERS_PER_PAGE) {
             int end = Math.min(present.size(), start + MEMBERS_PER_PAGE);
-            actions.add(new MembershipAction.SendProbeAnswer(to, 0, present.subList(start, end)));
+            actions.add(new MembershipAction.SendProbeAnswer(to, LISTING_SEQUENCE, present.subList(start, end)));
         }
     }
 
-    private void mergeNews(RouterName from, FleetMember received) {
+    private void mergeNews(RouterName from, FleetMember received, boolean isNews) {
         if (received.name().equals(self.name())) {
             mergeNewsOfSelf(received);
             return;
         }
         Optional<FleetMember> before = table.find(received.name());
-        FleetMember member = withoutHearsayOfDeath(from, received, before);
+        if (isHearsay(from, received)) {
+            if (before.isPresent() && isWatchedHere(received)) {
+                probesAskedFor.add(received.name());
+            }
+            return;
+        }
+        FleetMember member = withoutDoubtfulDeath(from, received);
         MemberTable.Change change = table.merge(member, clock.instant(), silenceAllowed(member));
         if (change == MemberTable.Change.NOTHING) {
             before.filter(known -> isContradicted(known, member)).ifPresent(known -> probesAskedFor.add(known.name()));
             return;
         }
-        spread(member);
+        viewChanged = true;
+        if (isNews) {
+            news.add(member);
+        }
         before.filter(known -> isLoss(known, member)).ifPresent(this::reportLost);
         if (member.state() == MemberState.SUSPECT && isWatchedHere(member)) {
             probesAskedFor.add(member.name());
@@ -147,13 +163,21 @@
         }
     }
 
-    private static FleetMember withoutHearsayOfDeath(
-            RouterName from, FleetMember member, Optional<FleetMember> before) {
-        boolean hearsay = member.state() == MemberState.DEAD && !from.equals(member.name());
-        boolean seenAlive = before.filter(known -> known.state() == MemberState.ALIVE)
-                .filter(known -> known.incarnation() == member.incarnation())
+    private boolean isHearsay(RouterName from, FleetMember member) {
+        if (member.state() != MemberState.SUSPECT && member.state() != MemberState.DEAD) {
+            return false;
+        }
+        return table.find(from)
+                .filter(sender -> !isNear(sender) && !sender.zone().equals(member.zone()))
                 .isPresent();
-        return hearsay && seenAlive ? member.withState(MemberState.SUSPECT) : member;
+    }
+
+    private FleetMember withoutDoubtfulDeath(RouterName from, FleetMember member) {
+        if (member.state() != MemberState.DEAD || from.equals(member.name())) {
+            return member;
+        }
+        boolean believed = table.believesDeath(member, clock.instant(), settings.suspicionTimeout());
+        return believed ? member : member.withState(MemberState.SUSPECT);
     }
 
     private static boolean isContradicted(FleetMember known, FleetMember member) {
@@ -220,6 +244,7 @@
             lastPeriod = period;
             runPeriod(period, now);
         }
+        publishView();
     }
 
     private void allowForOwnPause(Instant now) {
@@ -267,10 +292,15 @@
         }
         if (Math.floorMod(period + self.name().hashCode(), REVIVAL_PERIODS) == 0) {
             boolean speaker = schedule.isSpeaker(table);
-            missing.next(1, table, member -> speaker || isNear(member)).forEach(peer -> probe(peer, now));
+            missing.next(1, table, member -> speaker || isNear(member) || isUnknown(member))
+                    .forEach(peer -> probe(peer, now));
         }
     }
 
+    private boolean isUnknown(FleetMember member) {
+        return table.find(member.name()).isEmpty();
+    }
+
     private void probeToJoin(Instant now) {
         if (!missing.areHostsKnown()) {
             return;
@@ -314,13 +344,18 @@
 
     private void askMembers(RouterName peer) {
         Instant now = clock.instant();
-        if (lastMembersAsk.plus(MEMBERS_ASK_INTERVAL).isAfter(now)) {
+        if (lastMembersAsk.plus(membersAskInterval).isAfter(now)) {
             return;
         }
         lastMembersAsk = now;
+        membersAskInterval = shorter(membersAskInterval.multipliedBy(3).dividedBy(2), LAST_MEMBERS_ASK_INTERVAL);
         actions.add(new MembershipAction.AskMembers(peer));
     }
 
+    private static Duration shorter(Duration left, Duration right) {
+        return left.compareTo(right) <= 0 ? left : right;
+    }
+
     private void publishView() {
         if (!viewChanged) {
             return;
--- a/mangowall-membership/src/main/java/org/mangowall/membership/MissingRouters.java
+++ b/mangowall-membership/src/main/java/org/mangowall/membership/MissingRouters.java
@@ -43,6 +43,11 @@
         return candidates.size();
     }
 
+    /** Whether the platform names routers of which nothing is known at all. */
+    boolean hasUnknown(MemberTable table) {
+        return candidates.keySet().stream().anyMatch(name -> table.find(name).isEmpty());
+    }
+
     /** The next few missing routers in rotation, those of the own zone first. */
     List<FleetMember> next(int count, MemberTable table, Predicate<FleetMember> wanted) {
         Map<RouterName, FleetMember> missing = new LinkedHashMap<>();
--- a/mangowall-membership/src/test/java/org/mangowall/membership/FakeFleet.java
+++ b/mangowall-membership/src/test/java/org/mangowall/membership/FakeFleet.java
@@ -36,6 +36,7 @@
     final Set<RouterName> paused = new TreeSet<>();
     final List<String> lost = new ArrayList<>();
     BiPredicate<FleetMember, FleetMember> reaches = (from, to) -> true;
+    boolean measuring;
     Consumer<String> transcript = line -> {};
 
     private final Map<RouterName, Deque<Delivery>> inboxes = new TreeMap<>();
@@ -70,6 +71,15 @@
         cores.values().forEach(core -> core.handle(new MembershipEvent.HostsListed(hosts)));
     }
 
+    /** Tells each router of all others, as the answer of a peer that knows them all would. */
+    void introduceAll() {
+        List<FleetMember> members = List.copyOf(selves.values());
+        cores.forEach((router, core) -> {
+            RouterName from = members.getFirst().name();
+            core.handle(new MembershipEvent.ProbeAnswered(from, 0, members));
+        });
+    }
+
     void crash(RouterName router) {
         cores.remove(router);
         inboxes.remove(router);
@@ -142,8 +152,10 @@
     }
 
     private void send(RouterName from, RouterName to, PeerMessage message, MembershipEvent event) {
-        int bytes = PeerFrameCodec.encode(new PeerFrame(1, message)).length + PeerFrameCodec.LENGTH_BYTES;
-        bytesOut.merge(from, (long) bytes, Long::sum);
+        if (measuring) {
+            int bytes = PeerFrameCodec.encode(new PeerFrame(1, message)).length + PeerFrameCodec.LENGTH_BYTES;
+            bytesOut.merge(from, (long) bytes, Long::sum);
+        }
         boolean open =
                 Optional.ofNullable(inboxes.get(to)).isPresent() && reaches.test(selves.get(from), selves.get(to));
         if (open) {
@@ -162,6 +174,15 @@
                         .orElse(state == MemberState.DEAD));
     }
 
+    /** Whether each running router knows a router by the given incarnation. */
+    boolean allKnow(RouterName router, long incarnation) {
+        return cores.values().stream()
+                .allMatch(core -> core.view()
+                        .member(router)
+                        .filter(member -> member.incarnation() == incarnation)
+                        .isPresent());
+    }
+
     /** Whether each running router sees all running routers as alive and no others. */
     boolean isConverged() {
         return cores.values().stream().allMatch(core -> {
