--- a/mangowall-membership/src/main/java/org/mangowall/membership/MembershipCore.java
+++ b/mangowall-membership/src/main/java/org/mangowall/membership/MembershipCore.java
@@ -49,6 +49,7 @@
     private long lastPeriod;
     private long joinPeriods;
     private boolean viewChanged = true;
+    private boolean newcomer;
     private boolean joined;
     private boolean ended;
 
@@ -70,6 +71,7 @@
             return List.of();
         }
         actions.clear();
+        newcomer = false;
         switch (event) {
             case MembershipEvent.HostsListed listed -> missing.list(listed.hosts());
             case MembershipEvent.HostsUnavailable unavailable -> missing.goOnWithoutList();
@@ -84,6 +86,9 @@
             }
             case MembershipEvent.ClockTicked tick -> tick();
         }
+        if (newcomer) {
+            publishView();
+        }
         return List.copyOf(actions);
     }
 
@@ -149,6 +154,7 @@
             return;
         }
         viewChanged = true;
+        newcomer |= change == MemberTable.Change.APPEARED;
         if (isNews) {
             news.add(member);
         }
@@ -366,7 +372,7 @@
             return;
         }
         publishedView = view;
-        actions.add(new MembershipAction.ChangeView(view));
+        actions.addFirst(new MembershipAction.ChangeView(view));
     }
 
     private long periodOf(Instant instant) {
--- a/mangowall-membership/src/test/java/org/mangowall/membership/TargetSizeTest.java
+++ b/mangowall-membership/src/test/java/org/mangowall/membership/TargetSizeTest.java
@@ -32,6 +32,11 @@
         assertTrue(largest < MAXIMUM_BYTES_A_SECOND, largest + " bytes a second");
         fleet.lost.clear();
         print("steady state", Optional.of(Duration.ofSeconds(SECONDS_OF_STEADY_STATE)), fleet);
+        fleet.bytesOut.clear();
+        fleet.platform.write(FakeFleet.INVENTORY, 0, new byte[2000]).join();
+        Optional<Duration> inForce = fleet.runUntil(() -> fleet.allHaveVersion(1), Duration.ofSeconds(18));
+        assertTrue(inForce.isPresent(), "a configuration is in force everywhere within 18 s");
+        print("configuration of 2000 bytes", inForce, fleet);
         fleet.paused.add(SECOND);
         fleet.run(Duration.ofMillis(3900));
         fleet.paused.remove(SECOND);
