--- a/mangowall-protocol/src/main/java/org/mangowall/protocol/MessageDecoder.java
+++ b/mangowall-protocol/src/main/java/org/mangowall/protocol/MessageDecoder.java
@@ -54,6 +54,7 @@
                 new PeerMessage.ClaimSettled(values.request(), values.text(), values.flag(), values.optionalAnswer());
             case ANSWER_FLOW -> new PeerMessage.AnswerFlow(values.request(), values.number());
             case HEARTBEAT -> new PeerMessage.Heartbeat(values.number(), values.flag());
+            case MEMBERS_ASK -> readMembersAsk();
         };
     }
 
@@ -62,6 +63,11 @@
         return new PeerMessage.CountersAsk();
     }
 
+    private PeerMessage readMembersAsk() throws IOException {
+        values.flag();
+        return new PeerMessage.MembersAsk();
+    }
+
     private FailureCode failureCode() throws IOException {
         FailureCode code = FAILURE_CODES.get(values.text());
         if (code == null) {
