--- a/mangowall-protocol/src/main/java/org/mangowall/protocol/MessageEncoder.java
+++ b/mangowall-protocol/src/main/java/org/mangowall/protocol/MessageEncoder.java
@@ -25,7 +25,7 @@
             case PeerMessage.AnswerEnd end -> values.request(end.request()).number(end.bodyBytes());
             case PeerMessage.RefusalNotice refusal ->
                 values.request(refusal.request()).text(refusal.code().code()).number(refusal.retryAfterMillis());
-            case PeerMessage.AnswerFlow flow -> values.request(flow.request()).flag(flow.held());
+            case PeerMessage.AnswerFlow flow -> values.request(flow.request()).number(flow.takenBytes());
             case PeerMessage.Heartbeat heartbeat ->
                 values.number(heartbeat.sequence()).flag(heartbeat.asks());
             case PeerMessage.Exchange exchange -> values.exchange(exchange.exchange());
@@ -33,6 +33,7 @@
                 values.text(pull.service()).number(pull.slots()).real(pull.belowTag());
             case PeerMessage.CountersAsk ask -> values.flag(true);
             case PeerMessage.Counters counters -> values.snapshot(counters.snapshot());
+            case PeerMessage.MembersAsk ask -> values.flag(true);
             case PeerMessage.Probe probe ->
                 values.number(probe.sequence())
                         .number(probe.configurationVersion())
--- a/mangowall-protocol/src/main/java/org/mangowall/protocol/MessageType.java
+++ b/mangowall-protocol/src/main/java/org/mangowall/protocol/MessageType.java
@@ -43,7 +43,9 @@
     /** {@link PeerMessage.AnswerFlow}. */
     ANSWER_FLOW(20),
     /** {@link PeerMessage.Heartbeat}. */
-    HEARTBEAT(21);
+    HEARTBEAT(21),
+    /** {@link PeerMessage.MembersAsk}. */
+    MEMBERS_ASK(22);
 
     private static final MessageType[] BY_NUMBER = numbered();
 
@@ -99,6 +101,7 @@
             case PeerMessage.ClaimSettled settled -> CLAIM_SETTLED;
             case PeerMessage.AnswerFlow flow -> ANSWER_FLOW;
             case PeerMessage.Heartbeat heartbeat -> HEARTBEAT;
+            case PeerMessage.MembersAsk ask -> MEMBERS_ASK;
         };
     }
 
