--- a/mangowall-policy/src/main/java/org/mangowall/policy/core/ExchangeRole.java
+++ b/mangowall-policy/src/main/java/org/mangowall/policy/core/ExchangeRole.java
@@ -13,7 +13,8 @@
 /** Tells other homes of the same service what this one has, and takes in what they tell. */
 final class ExchangeRole {
 
-    private static final long URGENT_MILLISECONDS = 20;
+    private static final long ANSWER_MILLISECONDS = 350;
+    private static final long URGENT_MILLISECONDS = 100;
     private static final int PERIODS_OF_FULL_EXCHANGE = 10;
     private static final double BUDGET_BYTES_PER_SECOND = 4_000;
     private static final double MILLISECONDS_PER_SECOND = 1_000;
@@ -41,6 +42,7 @@
         private int free;
         private int waiting;
         private double headTag = Double.POSITIVE_INFINITY;
+        private final Map<RouterName, Long> answers = new TreeMap<>();
         private int exchanges;
         private int shares;
         private List<RouterName> others = List.of();
@@ -59,15 +61,25 @@
         }
         Told last = told.computeIfAbsent(service.name(), name -> new Told());
         long silence = context.now() - last.at;
-        boolean newlyWaiting = !service.queue().isEmpty() && last.waiting == 0;
+        boolean newlyWaiting = !service.queue().isEmpty() && last.waiting == 0 && peers.mayHaveRoom(service.name());
         for (RouterName asker : pulls.takeDisappointed(service.name())) {
-            context.act(new DecisionAction.SendExchange(asker, exchange(service, 1)));
+            answer(service, asker, last);
         }
         if (newlyWaiting && silence >= URGENT_MILLISECONDS) {
             tell(service, last);
         }
     }
 
+    /** Gives fresh news to a home that pulled in vain, but not again and again. */
+    private void answer(ServiceState service, RouterName asker, Told last) {
+        long answeredAt = last.answers.getOrDefault(asker, Long.MIN_VALUE / 2);
+        if (context.now() - answeredAt < ANSWER_MILLISECONDS) {
+            return;
+        }
+        last.answers.put(asker, context.now());
+        context.act(new DecisionAction.SendExchange(asker, exchange(service, 1)));
+    }
+
     /** Time has passed. */
     void tick() {
         if (!context.traits().exchange()) {
--- a/mangowall-policy/src/main/java/org/mangowall/policy/core/PeerBook.java
+++ b/mangowall-policy/src/main/java/org/mangowall/policy/core/PeerBook.java
@@ -66,6 +66,11 @@
         return sum;
     }
 
+    /** Whether another home had room when it was last heard of. */
+    boolean mayHaveRoom(ServiceName service) {
+        return of(service).stream().anyMatch(peer -> peer.freeSlots() > 0);
+    }
+
     /** The smallest tag among what waits at other homes. */
     double smallestHeadTag(ServiceName service) {
         double smallest = Double.POSITIVE_INFINITY;
