Say that an answer is complete only once it is

Ruled out: the cut itself was visible (error event, no final chunk), only the header was early.

Change: answers of known length up to 64 KiB are held until they are whole, so a runner that fails in the middle gives a typed 502 with "unknown" instead of a cut body. Chunked answers carry the outcome in their trailer. Larger ones of known length carry none. An HTTP/1.0 answer that is cut is reset.

Conclusion: the header is true whenever it is there.

--- a/mangowall-router/src/main/java/org/mangowall/router/caller/CallerExchange.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/caller/CallerExchange.java
@@ -7,9 +7,11 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -35,7 +37,9 @@
     private final Runnable afterAnswer;
     private final boolean canChunk;
     private boolean keepAlive;
+    private boolean answerBegan;
     private boolean headWritten;
+    private HeldAnswer held;
     private boolean eventStream;
     private boolean ended;
 
@@ -50,15 +54,16 @@
         return channel;
     }
 
-    boolean isHeadWritten() {
-        return headWritten;
+    /** Whether a runner's answer has begun, be it held or written. */
+    boolean hasAnswerBegun() {
+        return answerBegan;
     }
 
     void closeAfterAnswer() {
         keepAlive = false;
     }
 
-    /** Begins a runner's answer. */
+    /** Begins a runner's answer; a small one of known length is held until it is whole. */
     void head(String requestIdentifier, String runner, int status, List<HeaderField> headers) {
         HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
         HttpHeaders fields = response.headers();
@@ -73,9 +78,16 @@
             keepAlive = false;
         }
         fields.set(REQUEST_HEADER, requestIdentifier);
-        fields.set(OUTCOME_HEADER, RequestOutcome.COMPLETE.text());
         fields.set(RUNNER_HEADER, runner);
         HttpUtil.setKeepAlive(fields, HttpVersion.HTTP_1_1, keepAlive);
+        answerBegan = true;
+        if (HeldAnswer.suits(response)) {
+            held = new HeldAnswer(response);
+            return;
+        }
+        if (HttpUtil.isTransferEncodingChunked(response)) {
+            fields.set(HttpHeaderNames.TRAILER, OUTCOME_HEADER);
+        }
         eventStream = fields.get(HttpHeaderNames.CONTENT_TYPE, "").startsWith(EVENT_STREAM);
         headWritten = true;
         channel.writeAndFlush(response);
@@ -87,6 +99,11 @@
 
     /** Passes a piece of the body, and says when the caller's connection has taken it. */
     void body(byte[] bytes, Runnable whenTaken) {
+        if (held != null) {
+            held.add(bytes);
+            whenTaken.run();
+            return;
+        }
         channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
                 .addListener(written -> {
                     if (written.isSuccess()) {
@@ -97,7 +114,14 @@
 
     /** Ends a whole answer. */
     void end() {
-        finish(LastHttpContent.EMPTY_LAST_CONTENT);
+        if (held != null) {
+            headWritten = true;
+            finish(held.whole(OUTCOME_HEADER, RequestOutcome.COMPLETE.text()));
+            return;
+        }
+        LastHttpContent last = new DefaultLastHttpContent();
+        last.trailingHeaders().set(OUTCOME_HEADER, RequestOutcome.COMPLETE.text());
+        finish(last);
     }
 
     /** Answers with a failure, or cuts an answer that has begun so that the caller can see it. */
@@ -139,10 +163,18 @@
             String event = "event: error\ndata: " + new String(problem.toJson(), StandardCharsets.UTF_8) + "\n\n";
             last = Unpooled.copiedBuffer(event, StandardCharsets.UTF_8);
         }
+        if (!canChunk) {
+            resetOnClose();
+        }
         channel.writeAndFlush(new DefaultHttpContent(last)).addListener(ChannelFutureListener.CLOSE);
         afterAnswer.run();
     }
 
+    /** An answer that ends with its connection can only be seen to be cut when the connection is reset. */
+    private void resetOnClose() {
+        channel.config().setOption(ChannelOption.SO_LINGER, 0);
+    }
+
     private void finish(Object lastPart) {
         if (ended) {
             return;
--- a/mangowall-router/src/main/java/org/mangowall/router/caller/EntryRequest.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/caller/EntryRequest.java
@@ -123,7 +123,7 @@
     /** The answer begins. */
     public void answerHead(AnswerOrigin from, RunnerName runner, int status, List<HeaderField> headers) {
         run(() -> {
-            if (isLate(from, MessageType.ANSWER_HEAD) || exchange.isHeadWritten()) {
+            if (isLate(from, MessageType.ANSWER_HEAD) || exchange.hasAnswerBegun()) {
                 return;
             }
             content = null;
@@ -140,7 +140,7 @@
             if (isLate(from, MessageType.ANSWER_BODY)) {
                 return;
             }
-            if (!exchange.isHeadWritten()) {
+            if (!exchange.hasAnswerBegun()) {
                 failNow(FailureCode.RUNNER_ANSWER_INVALID, Duration.ZERO);
                 return;
             }
@@ -170,7 +170,7 @@
             if (isLate(from, MessageType.ANSWER_END)) {
                 return;
             }
-            if (!exchange.isHeadWritten() || answerBytes != expectedBytes) {
+            if (!exchange.hasAnswerBegun() || answerBytes != expectedBytes) {
                 failNow(FailureCode.RUNNER_ANSWER_INVALID, Duration.ZERO);
                 return;
             }
@@ -199,7 +199,7 @@
     }
 
     private void failNow(FailureCode code, Duration retryAfter) {
-        FailureCode shown = exchange.isHeadWritten() && code.outcome() == RequestOutcome.NOT_RUN
+        FailureCode shown = exchange.hasAnswerBegun() && code.outcome() == RequestOutcome.NOT_RUN
                 ? FailureCode.RUNNER_CONNECTION_LOST
                 : code;
         finish(shown.outcome(), shown.code());
