--- a/mangowall-command/src/main/java/org/mangowall/command/status/FleetStatusText.java
+++ b/mangowall-command/src/main/java/org/mangowall/command/status/FleetStatusText.java
@@ -43,7 +43,7 @@
         }
         text.append(table);
         fleet.unnamedMembers()
-                .forEach(member -> text.append("Known but not asked: ")
+                .forEach(member -> text.append("Known, but not asked or silent: ")
                         .append(member.name() + " in " + member.zone() + ", " + member.state() + "\n"));
         fleet.silentRouters()
                 .forEach(silent -> text.append("No answer: ")
