--- /dev/null
+++ b/mangowall-standin/src/main/java/org/mangowall/standin/caller/DirectAddresses.java
@@ -0,0 +1,27 @@
+package org.mangowall.standin.caller;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.mangowall.inventory.Runner;
+
+/** The runners' addresses for calls past the routers, each in turn. */
+final class DirectAddresses {
+
+    private final List<Runner> runners;
+    private final Map<String, Integer> turns = new HashMap<>();
+
+    DirectAddresses(List<Runner> runners) {
+        this.runners = List.copyOf(runners);
+    }
+
+    String next(String service) {
+        List<Runner> candidates = runners.stream()
+                .filter(runner -> runner.service().value().equals(service))
+                .toList();
+        int turn = turns.merge(service, 1, Integer::sum);
+        Runner runner = candidates.get(Math.floorMod(turn, candidates.size()));
+        return "http://" + runner.host() + ":" + runner.port();
+    }
+}
--- /dev/null
+++ b/mangowall-standin/src/main/java/org/mangowall/standin/caller/ServiceGap.java
@@ -0,0 +1,44 @@
+package org.mangowall.standin.caller;
+
+import java.util.Arrays;
+
+/**
+ * The largest difference in service per weight between two workspaces over any interval of the measurement.
+ *
+ * <p>All workspaces that are given must be backlogged all the time, or the figure says nothing.
+ */
+final class ServiceGap {
+
+    private final int size;
+    private final double[] smallestDifference;
+    private final double[] largestDifference;
+
+    ServiceGap(int size) {
+        this.size = size;
+        this.smallestDifference = new double[size * size];
+        this.largestDifference = new double[size * size];
+        Arrays.fill(smallestDifference, Double.POSITIVE_INFINITY);
+        Arrays.fill(largestDifference, Double.NEGATIVE_INFINITY);
+    }
+
+    /** Takes the service per weight that each workspace has had up to now. */
+    void sample(double[] servedPerWeight) {
+        for (int left = 0; left < size; left++) {
+            for (int right = left + 1; right < size; right++) {
+                int index = left * size + right;
+                double difference = servedPerWeight[left] - servedPerWeight[right];
+                smallestDifference[index] = Math.min(smallestDifference[index], difference);
+                largestDifference[index] = Math.max(largestDifference[index], difference);
+            }
+        }
+    }
+
+    double largest() {
+        double largest = 0;
+        for (int index = 0; index < smallestDifference.length; index++) {
+            double range = largestDifference[index] - smallestDifference[index];
+            largest = Double.isFinite(range) ? Math.max(largest, range) : largest;
+        }
+        return largest;
+    }
+}
--- /dev/null
+++ b/mangowall-standin/src/main/java/org/mangowall/standin/command/EngineCommand.java
@@ -0,0 +1,13 @@
+package org.mangowall.standin.command;
+
+import com.beust.jcommander.Parameters;
+import org.mangowall.inventory.ServiceKind;
+
+/** Runs model engines. */
+@Parameters(commandDescription = "Run a model engine for each runner of the model services of an inventory")
+final class EngineCommand extends RunnersCommand {
+
+    EngineCommand() {
+        super(ServiceKind.MODEL);
+    }
+}
--- a/mangowall-standin/src/main/java/org/mangowall/standin/command/StandInMain.java
+++ b/mangowall-standin/src/main/java/org/mangowall/standin/command/StandInMain.java
@@ -24,6 +24,10 @@
 
     static int run(String[] words, PrintStream out, PrintStream err) {
         Map<String, StandInCommand> commands = new LinkedHashMap<>();
+        commands.put("platform", new PlatformCommand());
+        commands.put("engine", new EngineCommand());
+        commands.put("plain", new PlainCommand());
+        commands.put("caller", new CallerCommand());
         commands.put("demo", new DemoCommand());
         JCommander.Builder builder = JCommander.newBuilder().programName(PROGRAM);
         commands.forEach(builder::addCommand);
--- a/mangowall-standin/src/main/java/org/mangowall/standin/demo/DemoCalls.java
+++ b/mangowall-standin/src/main/java/org/mangowall/standin/demo/DemoCalls.java
@@ -15,6 +15,7 @@
 import org.asynchttpclient.Response;
 import org.mangowall.kernel.failure.FailureCode;
 import org.mangowall.kernel.failure.MangowallException;
+import org.mangowall.standin.caller.EventText;
 import org.mangowall.standin.http.Json;
 
 /** The calls of the demo, each printed with its answer. */
@@ -91,7 +92,7 @@
     private static String answerText(Response response) {
         String body = response.getResponseBody(StandardCharsets.UTF_8);
         if (String.valueOf(response.getContentType()).startsWith("text/event-stream")) {
-            return streamText(body);
+            return EventText.join(body);
         }
         if (String.valueOf(response.getContentType()).startsWith("application/json")) {
             JsonNode document = Json.read(body.getBytes(StandardCharsets.UTF_8));
@@ -100,19 +101,6 @@
         return body.replace("\n", " | ");
     }
 
-    private static String streamText(String events) {
-        StringBuilder text = new StringBuilder();
-        for (String event : events.split("\n\n")) {
-            String data = event.startsWith("data: ") ? event.substring("data: ".length()) : "";
-            if (data.startsWith("{")) {
-                text.append(Json.read(data.getBytes(StandardCharsets.UTF_8))
-                        .at("/choices/0/delta/content")
-                        .asText());
-            }
-        }
-        return text.toString();
-    }
-
     @Override
     public void close() throws IOException {
         client.close();
--- a/mangowall-standin/src/main/java/org/mangowall/standin/http/Json.java
+++ b/mangowall-standin/src/main/java/org/mangowall/standin/http/Json.java
@@ -25,6 +25,15 @@
         }
     }
 
+    /** Writes a value over several lines for people. */
+    public static byte[] writePretty(Object value) {
+        try {
+            return MAPPER.writerWithDefaultPrettyPrinter().writeValueAsBytes(value);
+        } catch (JsonProcessingException failure) {
+            throw new MangowallException(FailureCode.INTERNAL, "a value has no JSON form", failure);
+        }
+    }
+
     /**
      * Reads a document; a missing node when there are no bytes.
      *
--- a/mangowall-standin/src/main/java/org/mangowall/standin/runner/RunnerProcess.java
+++ b/mangowall-standin/src/main/java/org/mangowall/standin/runner/RunnerProcess.java
@@ -44,6 +44,7 @@
     private long completed;
     private long overloads;
     private int mostRunning;
+    private final BusyTime busyTime = new BusyTime();
 
     /** Starts to listen; {@code serviceHandler} answers all calls but those for load, control and ledger. */
     public RunnerProcess(
@@ -120,7 +121,7 @@
     }
 
     private void begin(RunnerWork work) {
-        running++;
+        setRunning(running + 1);
         work.begin(new WorkSlot(this, run));
     }
 
@@ -129,7 +130,7 @@
     }
 
     void releaseSlot(boolean didComplete) {
-        running--;
+        setRunning(running - 1);
         if (didComplete) {
             completed++;
         }
@@ -141,6 +142,11 @@
         }
     }
 
+    private void setRunning(int count) {
+        busyTime.add(running);
+        running = count;
+    }
+
     /** Whether this answer is to be lost; counts it off. */
     public boolean takeLostAnswer() {
         if (switches.loseAnswers() <= 0) {
@@ -159,6 +165,8 @@
         document.put("lose_answers", switches.loseAnswers());
         document.put("refuse_requests", switches.refuseRequests());
         document.put("overloads", overloads);
+        busyTime.add(running);
+        document.put("busy_slot_millis", busyTime.slotMillis());
         document.put("running", running);
         document.put("waiting", waiting.size());
         document.put("most_running", mostRunning);
@@ -195,7 +203,7 @@
 
     private void dropWork() {
         run++;
-        running = 0;
+        setRunning(0);
         completed = 0;
         waiting.clear();
         server.resetConnections();
--- a/mangowall-standin/src/main/java/org/mangowall/standin/runner/SideEffectLedger.java
+++ b/mangowall-standin/src/main/java/org/mangowall/standin/runner/SideEffectLedger.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.UUID;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import java.util.regex.Matcher;
@@ -18,6 +19,7 @@
 
     private static final Pattern NONCE = Pattern.compile("nonce=([A-Za-z0-9_-]{1,64})");
 
+    private final String identifier = UUID.randomUUID().toString();
     private final ConcurrentMap<String, List<String>> requestsByNonce = new ConcurrentHashMap<>();
 
     /** The nonce in a body; empty text when there is none. */
@@ -54,6 +56,7 @@
     public Map<String, Object> toDocument() {
         Map<String, List<String>> sorted = new TreeMap<>(requestsByNonce);
         long executed = sorted.values().stream().mapToLong(List::size).sum();
-        return Map.of("executed", executed, "doubled", doubledNonces(), "requests_by_nonce", sorted);
+        return Map.of(
+                "ledger", identifier, "executed", executed, "doubled", doubledNonces(), "requests_by_nonce", sorted);
     }
 }
