--- a/benchmarks/fleet-library.sh
+++ b/benchmarks/fleet-library.sh
@@ -6,13 +6,14 @@
 router_count=${ROUTERS:-9}
 declare -A process_ids=()
 
-# prepare_fleet DEPLOYMENT DIRECTORY: copies the example settings; PORT_PREFIX and POLICY change them.
+# prepare_fleet DEPLOYMENT DIRECTORY: copies the programs, which a build may replace, and the example settings; PORT_PREFIX and POLICY change them.
 prepare_fleet() {
   deployment=$1
   run_directory=$2
   mkdir -p "$run_directory"
   "$root/build-distribution"
-  home=$("$root/build-distribution" --print-home)
+  home="$run_directory/home"
+  cp -r "$("$root/build-distribution" --print-home)" "$home"
   cp "$home"/examples/"$deployment"/*.toml "$run_directory/"
   example_prefix=$(sed -n 's/^address = "127.0.0.1:\([0-9][0-9]\)000"/\1/p' "$run_directory/platform.toml")
   port_prefix=${PORT_PREFIX:-$example_prefix}
--- /dev/null
+++ b/mangowall-standin/src/test/java/org/mangowall/standin/caller/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the callers. */
+package org.mangowall.standin.caller;
