--- a/mangowall-command/src/test/java/org/mangowall/command/CommandSession.java
+++ b/mangowall-command/src/test/java/org/mangowall/command/CommandSession.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.LinkedHashMap;
@@ -21,11 +22,23 @@
 
     private final StringBuilder transcript = new StringBuilder();
     private final Map<String, String> fixedNames = new LinkedHashMap<>();
-    private final PausedClock clock = new PausedClock(Instant.EPOCH);
+    private final Clock clock;
+    private final Runnable pause;
     private final Path folder;
 
+    /** A session whose clock moves on by a second with each wait. */
     CommandSession(Path folder) {
+        this(folder, new PausedClock(Instant.EPOCH));
+    }
+
+    private CommandSession(Path folder, PausedClock pausedClock) {
+        this(folder, pausedClock, () -> pausedClock.advance(Duration.ofSeconds(1)));
+    }
+
+    CommandSession(Path folder, Clock clock, Runnable pause) {
         this.folder = folder;
+        this.clock = clock;
+        this.pause = pause;
         name(folder.toString() + "/", "");
     }
 
@@ -56,7 +69,7 @@
         transcript.append("$ mangowall ").append(line).append('\n');
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         PrintStream stream = new PrintStream(bytes, true, StandardCharsets.UTF_8);
-        CommandLine commandLine = new CommandLine(stream, stream, clock, () -> clock.advance(Duration.ofSeconds(1)));
+        CommandLine commandLine = new CommandLine(stream, stream, clock, pause);
         String[] words = real(line).isEmpty() ? new String[0] : real(line).split(" ");
         for (int index = 0; index < words.length; index++) {
             if (words[index].endsWith(".toml") || words[index].endsWith(".token")) {
