--- /dev/null
+++ b/mangowall-router/src/test/java/org/mangowall/router/PeerPortTest.java
@@ -0,0 +1,128 @@
+package org.mangowall.router;
+
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+
+import org.junit.jupiter.api.Test;
+import org.mangowall.kernel.name.RequestIdentifier;
+import org.mangowall.kernel.name.RunnerName;
+import org.mangowall.protocol.HeaderField;
+import org.mangowall.protocol.PeerMessage;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** What another router, or something that is none, may do to a router. */
+class PeerPortTest {
+
+    private static final PeerSettings QUICK =
+            new PeerSettings(Duration.ofSeconds(1), Duration.ofMillis(50), 3, Duration.ofMinutes(1), 16);
+
+    private static final List<HeaderField> LENGTH_FOUR = List.of(new HeaderField("content-length", "4"));
+
+    private static void answer(FakePeer.Connection connection, RequestIdentifier request, String body, long length)
+            throws IOException {
+        connection.send(new PeerMessage.AnswerHead(request, new RunnerName("register-1"), 200, LENGTH_FOUR));
+        connection.send(new PeerMessage.AnswerBody(request, body.getBytes()));
+        connection.send(new PeerMessage.AnswerEnd(request, length));
+    }
+
+    private static HttpResponse<String> post(FakePeer.Script script) throws Exception {
+        try (FakePeer peer = new FakePeer(script);
+                TestFleet fleet = new TestFleet(peer, QUICK)) {
+            return fleet.post(0, "/services/register/x", "body");
+        }
+    }
+
+    @Test
+    void aHomeThatAnswersIsPassedOn() throws Exception {
+        HttpResponse<String> answer = post(connection -> {
+            PeerMessage.ForwardRequest forward = connection.await(PeerMessage.ForwardRequest.class);
+            answer(connection, forward.description().identifier(), "good", 4);
+            connection.read();
+        });
+        assertEquals("good", answer.body());
+    }
+
+    @Test
+    void aHomeThatGoesSilentIsFoundAndTheOutcomeIsUnknown() throws Exception {
+        HttpResponse<String> answer = post(connection -> {
+            connection.await(PeerMessage.ForwardRequest.class);
+            connection.await(PeerMessage.Heartbeat.class);
+            while (true) {
+                connection.read();
+            }
+        });
+        assertEquals(502, answer.statusCode());
+        assertTrue(answer.body().contains("\"code\":\"home-lost\""), answer.body());
+        assertEquals(
+                "unknown", answer.headers().firstValue("x-mangowall-outcome").orElse(""));
+    }
+
+    @Test
+    void aHomeThatClosesTheConnectionGivesUnknown() throws Exception {
+        HttpResponse<String> answer = post(connection -> connection.await(PeerMessage.ForwardRequest.class));
+        assertTrue(answer.body().contains("\"code\":\"home-lost\""), answer.body());
+    }
+
+    @Test
+    void framesOfAnotherRequestOrConnectionAreDropped() throws Exception {
+        HttpResponse<String> answer = post(connection -> {
+            PeerMessage.ForwardRequest forward = connection.await(PeerMessage.ForwardRequest.class);
+            RequestIdentifier own = forward.description().identifier();
+            RequestIdentifier crossed = new RequestIdentifier(own.entry(), own.incarnation(), own.sequence() + 7);
+            RequestIdentifier earlier = new RequestIdentifier(own.entry(), own.incarnation() - 1, own.sequence());
+            answer(connection, crossed, "evil", 4);
+            answer(connection, earlier, "evil", 4);
+            connection.sendOtherEpoch(
+                    connection.epoch() - 1,
+                    new PeerMessage.AnswerHead(own, new RunnerName("register-1"), 500, LENGTH_FOUR));
+            answer(connection, own, "good", 4);
+            connection.read();
+        });
+        assertEquals(200, answer.statusCode());
+        assertEquals("good", answer.body());
+    }
+
+    @Test
+    void anAnswerOfTheWrongLengthIsVisiblyCut() throws Exception {
+        try (FakePeer peer = new FakePeer(connection -> {
+                    PeerMessage.ForwardRequest forward = connection.await(PeerMessage.ForwardRequest.class);
+                    answer(connection, forward.description().identifier(), "one", 4);
+                    connection.read();
+                });
+                TestFleet fleet = new TestFleet(peer, QUICK);
+                RawCaller caller = new RawCaller(fleet.router(0).callerPort())) {
+            String answer = caller.send(RawCaller.plain("POST", "/x", "")).readToEnd();
+            assertTrue(answer.contains("content-length: 4"), answer);
+            assertTrue(answer.endsWith("\r\n\r\none"), answer);
+        }
+    }
+
+    @Test
+    void bytesThatAreNoFramesEndTheirConnectionOnly() throws Exception {
+        Random random = new Random(77);
+        try (FakeRunner plain = FakeRunner.echo();
+                TestFleet fleet = TestFleet.of(2, TestFleet.inventory(1, plain.port()))) {
+            for (int round = 0; round < 100; round++) {
+                byte[] bytes = new byte[4 + random.nextInt(100)];
+                random.nextBytes(bytes);
+                bytes[0] = (byte) (round % 2 == 0 ? 0 : 0x7f);
+                bytes[1] = 0;
+                bytes[2] = 0;
+                bytes[3] = (byte) Math.min(bytes.length - 4, 127);
+                try (RawCaller stranger = new RawCaller(fleet.router(0).peerPort())) {
+                    stranger.send(new String(bytes, java.nio.charset.StandardCharsets.ISO_8859_1));
+                    stranger.endOutput();
+                    stranger.readToEnd();
+                } catch (IOException reset) {
+                    // A connection that the router ends early may be reset.
+                }
+            }
+            assertEquals(200, fleet.post(1, "/services/register/x", "after").statusCode());
+        }
+    }
+}
--- /dev/null
+++ b/mangowall-router/src/test/java/org/mangowall/router/ShutdownTest.java
@@ -0,0 +1,71 @@
+package org.mangowall.router;
+
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class ShutdownTest {
+
+    private static final CallerSettings SHORT_KEEP = new CallerSettings(
+            16 * 1024,
+            1024 * 1024,
+            4096,
+            32L * 1024 * 1024,
+            Duration.ofSeconds(75),
+            Duration.ofSeconds(30),
+            Duration.ofMillis(200),
+            Duration.ofMinutes(1));
+
+    private static TestFleet fleet(FakeRunner plain) throws Exception {
+        return new TestFleet(2, "round-robin", SHORT_KEEP, PeerSettings.DEFAULTS, TestFleet.inventory(1, plain.port()));
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1})
+    void aRequestUnderWayIsFinishedWhetherItsEntryOrItsHomeLeaves(int leaving) throws Exception {
+        CompletableFuture<Void> begun = new CompletableFuture<>();
+        CompletableFuture<Void> goOn = new CompletableFuture<>();
+        try (FakeRunner plain = new FakeRunner((call, socket) -> {
+                    FakeRunner.write(socket, "HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r\nhalf");
+                    begun.complete(null);
+                    goOn.join();
+                    FakeRunner.write(socket, "full");
+                });
+                TestFleet fleet = fleet(plain)) {
+            HttpRequest request = fleet.request(1, "/services/register/x").build();
+            CompletableFuture<HttpResponse<String>> answer =
+                    fleet.client().sendAsync(request, HttpResponse.BodyHandlers.ofString());
+            begun.get(10, TimeUnit.SECONDS);
+            CompletableFuture<Void> left = fleet.router(leaving).leave();
+            assertFalse(left.isDone());
+            goOn.complete(null);
+            assertEquals("halffull", answer.get(10, TimeUnit.SECONDS).body());
+            left.get(20, TimeUnit.SECONDS);
+        }
+    }
+
+    @Test
+    void aLeavingRouterServesCallersWhoKeepAnOlderList() throws Exception {
+        try (FakeRunner plain = FakeRunner.echo();
+                TestFleet fleet = fleet(plain)) {
+            CompletableFuture<Void> left = fleet.router(1).leave();
+            HttpResponse<String> hosts = fleet.client()
+                    .send(fleet.request(1, "/mangowall/entry-hosts").build(), HttpResponse.BodyHandlers.ofString());
+            HttpResponse<String> answer = fleet.post(1, "/services/register/x", "late");
+            assertTrue(hosts.body().contains("router-1"), hosts.body());
+            assertFalse(hosts.body().contains("router-2"), hosts.body());
+            assertEquals("/x late", answer.body());
+            left.get(20, TimeUnit.SECONDS);
+        }
+    }
+}
--- a/mangowall-router/src/test/java/org/mangowall/router/TestFleet.java
+++ b/mangowall-router/src/test/java/org/mangowall/router/TestFleet.java
@@ -7,6 +7,7 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -15,6 +16,7 @@
 import org.mangowall.kernel.name.RouterName;
 import org.mangowall.kernel.name.ZoneName;
 import org.mangowall.kernel.time.MonotonicClock;
+import org.mangowall.platform.HostEntry;
 import org.mangowall.platform.ObjectName;
 import org.mangowall.platform.PlatformClient;
 import org.mangowall.platform.memory.InMemoryPlatform;
@@ -34,14 +36,29 @@
         byte[] document = InventoryDocument.parseToml("test", inventory).toJson();
         platform.write(new ObjectName("configuration", "inventory"), 0, document)
                 .join();
-        for (int index = 1; index <= size; index++) {
+        startRouters(1, size, policy, caller, peer);
+        awaitEveryRouter();
+    }
+
+    /** One router, in zone-2, that sees a peer named router-1 in zone-1, home of all runners. */
+    TestFleet(FakePeer peer, PeerSettings settings) throws IOException, InterruptedException {
+        byte[] document = InventoryDocument.parseToml("test", inventory(1, 2)).toJson();
+        platform.write(new ObjectName("configuration", "inventory"), 0, document)
+                .join();
+        platform.announce(new HostEntry("router-1", "zone-1", "127.0.0.1", 1, peer.port(), false))
+                .join();
+        startRouters(2, 2, "round-robin", CallerSettings.DEFAULTS, settings);
+        awaitEveryRouter();
+    }
+
+    private void startRouters(int first, int last, String policy, CallerSettings caller, PeerSettings peer) {
+        for (int index = first; index <= last; index++) {
             RouterSettings settings = RouterSettings.embedded(
                             new RouterName("router-" + index), new ZoneName("zone-" + index), URI.create("http://none"))
                     .withPlugins(policy, "polling")
                     .withBounds(caller, peer, RunnerSettings.DEFAULTS);
             routers.add(Router.start(settings, shared(), new MonotonicClock()));
         }
-        awaitEveryRouter();
     }
 
     static TestFleet of(int size, String inventory) throws IOException, InterruptedException {
@@ -101,7 +118,8 @@
     private void awaitEveryRouter() throws IOException, InterruptedException {
         for (Router router : routers) {
             int asks = 0;
-            while (!status(router).ready() || status(router).members().size() < routers.size()) {
+            while (!status(router).ready()
+                    || status(router).members().size() < platform.hosts().join().size()) {
                 asks++;
                 if (asks > MAXIMUM_ASKS) {
                     throw new IllegalStateException("the fleet did not get ready");
@@ -132,7 +150,7 @@
     HttpRequest.Builder request(int router, String path) {
         return HttpRequest.newBuilder(
                         URI.create("http://127.0.0.1:" + router(router).callerPort() + path))
-                .timeout(java.time.Duration.ofSeconds(20))
+                .timeout(Duration.ofSeconds(20))
                 .header("x-workspace", "school");
     }
 
