--- a/mangowall-router/src/main/java/org/mangowall/router/PeerDispatcher.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/PeerDispatcher.java
@@ -1,6 +1,8 @@
 package org.mangowall.router;
 
 import java.time.Duration;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 
 import org.mangowall.kernel.log.PartLog;
@@ -27,6 +29,7 @@
     private final DecisionSink decisions;
     private final RouterMetrics metrics;
     private final Supplier<ControlPlane> control;
+    private final Set<PeerConnection> accepted = ConcurrentHashMap.newKeySet();
 
     PeerDispatcher(
             EntryDesk entryDesk,
@@ -44,6 +47,9 @@
     @Override
     public void connected(PeerConnection connection) {
         LOG.info("connected with %s", connection);
+        if (!connection.isOpener()) {
+            accepted.add(connection);
+        }
     }
 
     @Override
@@ -135,10 +141,21 @@
         if (remote == null) {
             return;
         }
+        accepted.remove(connection);
         homeDesk.disconnected(connection);
         if (entryDesk.dependsOn(connection)) {
             LOG.warn("lost the connection with %s while requests depended on it", connection);
             decisions.post(new DecisionEvent.PeerLost(remote.router(), remote.incarnation()));
+            closeAccepted(remote);
+        }
+    }
+
+    /** The decision core drops the requests of a lost router, so that router must not wait for their answers. */
+    private void closeAccepted(PeerMessage.Hello lost) {
+        for (PeerConnection connection : accepted) {
+            if (connection.remote().router().equals(lost.router())) {
+                connection.close();
+            }
         }
     }
 }
--- a/mangowall-router/src/main/java/org/mangowall/router/RouterParts.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/RouterParts.java
@@ -29,6 +29,7 @@
 import org.mangowall.router.decision.DecisionRecords;
 import org.mangowall.router.decision.RouterActions;
 import org.mangowall.router.home.HomeDesk;
+import org.mangowall.router.metrics.RouterGauges;
 import org.mangowall.router.metrics.RouterMetrics;
 import org.mangowall.router.operator.OperatorPages;
 import org.mangowall.router.operator.OperatorServer;
@@ -97,6 +98,19 @@
         this.operatorServer = new OperatorServer(
                 eventLoops, operatorPages, metrics.registry(), control.configuration(), settings.operatorTokenFile());
         this.runnerWatch = runnerWatch();
+        registerGauges();
+    }
+
+    private void registerGauges() {
+        RouterGauges gauges = new RouterGauges(metrics.registry(), decisions::status);
+        gauges.registerAll();
+        gauges.single("mangowall_entry_open_requests", "Open requests of callers", entryDesk::openRequests);
+        gauges.single("mangowall_home_open_requests", "Open requests of other entries", homeDesk::openRequests);
+        gauges.single("mangowall_buffered_body_bytes", "Bodies of requests held", entryDesk::bufferedBytes);
+        gauges.single(
+                "mangowall_decision_ring_events",
+                "Events that wait for the decision duty",
+                () -> decisions.duty().depth());
     }
 
     private Duty<Runnable> runnerWatch() {
--- a/mangowall-router/src/main/java/org/mangowall/router/decision/DecisionJournal.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/decision/DecisionJournal.java
@@ -14,10 +14,12 @@
 
     private static final PartLog LOG = PartLog.of("decision");
     private static final String NO_RUNNER = "";
+    private static final int REFUSAL_LINES_PER_SECOND = 50;
 
     private final RouterIdentity identity;
     private final Clock clock;
     private final DecisionRecords records;
+    private final RepeatBound refusalLines = new RepeatBound(REFUSAL_LINES_PER_SECOND, LOG);
 
     DecisionJournal(RouterIdentity identity, Clock clock, DecisionRecords records) {
         this.identity = identity;
@@ -47,7 +49,9 @@
     }
 
     void refused(RequestIdentifier request, String code) {
-        LOG.info("request %s is refused: %s", request, code);
+        if (refusalLines.allows(clock.millis())) {
+            LOG.info("request %s is refused: %s", request, code);
+        }
         records.add(request, new Decision(clock.millis(), identity.name().value(), "refused", "", "", NO_RUNNER, code));
     }
 
--- a/mangowall-router/src/main/java/org/mangowall/router/home/HomeDesk.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/home/HomeDesk.java
@@ -242,8 +242,10 @@
                 calls.remove(identifier);
             }
             metrics.runnerTryEnded(description.service().value(), outcome.name().toLowerCase(Locale.ROOT));
-            if (outcome == RunnerOutcome.COMPLETED || outcome == RunnerOutcome.CANCELLED) {
+            if (outcome == RunnerOutcome.COMPLETED) {
                 forget(identifier);
+            } else if (outcome == RunnerOutcome.CANCELLED) {
+                refuse(identifier, FailureCode.RUNNER_CONNECTION_LOST, Duration.ZERO);
             }
             decisions.post(new DecisionEvent.AnswerEnded(identifier, outcome, cost));
         }
--- a/mangowall-router/src/main/java/org/mangowall/router/peer/PeerLink.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/peer/PeerLink.java
@@ -65,8 +65,7 @@
 
     private synchronized boolean sendOrKeep(PendingMessage message) {
         if (connection != null && connection.isActive()) {
-            message.sendOn(connection);
-            return true;
+            return message.sendOn(connection);
         }
         boolean mayDial = dialing || clock.millis() >= nextDialMillis;
         if (!mayDial || pending.size() >= maximumPending) {
@@ -80,16 +79,22 @@
         return true;
     }
 
-    synchronized void opened(PeerConnection open) {
-        dialing = false;
-        backoff.reset();
-        nextDialMillis = 0;
-        connection = open;
-        PendingMessage next = pending.poll();
-        while (next != null) {
-            next.sendOn(open);
-            next = pending.poll();
+    void opened(PeerConnection open) {
+        List<PendingMessage> lost = new ArrayList<>();
+        synchronized (this) {
+            dialing = false;
+            backoff.reset();
+            nextDialMillis = 0;
+            connection = open;
+            PendingMessage next = pending.poll();
+            while (next != null) {
+                if (!next.sendOn(open)) {
+                    lost.add(next);
+                }
+                next = pending.poll();
+            }
         }
+        lost.forEach(message -> message.dropped().run());
     }
 
     void failed() {
--- a/mangowall-router/src/main/java/org/mangowall/router/peer/PendingMessage.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/peer/PendingMessage.java
@@ -17,8 +17,9 @@
         return new PendingMessage(message, connection -> {}, () -> {});
     }
 
-    void sendOn(PeerConnection connection) {
+    /** Sends the message; false when the connection was closed already, so that nothing was written. */
+    boolean sendOn(PeerConnection connection) {
         beforeSend.accept(connection);
-        connection.send(message);
+        return connection.send(message);
     }
 }
--- /dev/null
+++ b/mangowall-router/src/test/java/org/mangowall/router/DecisionDutyTest.java
@@ -0,0 +1,79 @@
+package org.mangowall.router;
+
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.junit.jupiter.api.Test;
+import org.mangowall.kernel.time.MonotonicClock;
+import org.mangowall.policy.DecisionCore;
+import org.mangowall.policy.DecisionStatus;
+import org.mangowall.policy.action.DecisionAction;
+import org.mangowall.policy.event.DecisionEvent;
+import org.mangowall.router.decision.DecisionDuty;
+import org.mangowall.router.metrics.RouterMetrics;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class DecisionDutyTest {
+
+    private static final int RING_EVENTS = 64;
+
+    /** Waits at its first event of a request until it is told to go on. */
+    private static final class SlowCore implements DecisionCore {
+
+        private final CountDownLatch entered = new CountDownLatch(1);
+        private final CountDownLatch goOn = new CountDownLatch(1);
+        private final CountDownLatch lastSeen = new CountDownLatch(1);
+        private final AtomicInteger events = new AtomicInteger();
+
+        @Override
+        public List<DecisionAction> handle(DecisionEvent event) {
+            if (event instanceof DecisionEvent.ClockTicked) {
+                return List.of();
+            }
+            events.incrementAndGet();
+            entered.countDown();
+            try {
+                goOn.await();
+            } catch (InterruptedException interruption) {
+                Thread.currentThread().interrupt();
+            }
+            if (event instanceof DecisionEvent.LeaveBegan) {
+                lastSeen.countDown();
+            }
+            return List.of();
+        }
+
+        @Override
+        public DecisionStatus status() {
+            return new DecisionStatus(0, List.of(), List.of(), List.of());
+        }
+    }
+
+    @Test
+    void aNearlyFullRingRefusesNewWorkAndLosesNothingOfWorkUnderWay() throws Exception {
+        SlowCore core = new SlowCore();
+        try (DecisionDuty duty = new DecisionDuty(core, new MonotonicClock(), new RouterMetrics(), RING_EVENTS)) {
+            duty.start(action -> {});
+            assertTrue(duty.offer(new DecisionEvent.CallerLeft(null)));
+            core.entered.await();
+            int taken = 0;
+            while (duty.offer(new DecisionEvent.CallerLeft(null))) {
+                taken++;
+            }
+            assertEquals(RING_EVENTS / 4 * 3, taken);
+            for (int event = 0; event < RING_EVENTS / 4; event++) {
+                duty.post(new DecisionEvent.CallerLeft(null));
+            }
+            assertFalse(duty.offer(new DecisionEvent.CallerLeft(null)));
+            Thread held = Thread.ofVirtual().start(() -> duty.post(new DecisionEvent.LeaveBegan()));
+            core.goOn.countDown();
+            core.lastSeen.await();
+            held.join();
+            assertEquals(1 + RING_EVENTS + 1, core.events.get());
+        }
+    }
+}
