--- a/mangowall-router/src/main/java/org/mangowall/router/Router.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/Router.java
@@ -89,6 +89,7 @@
      */
     public synchronized CompletableFuture<Void> leave() {
         if (left == null) {
+            parts.setState(ServiceState.LEAVING);
             left = CompletableFuture.runAsync(this::runLeave, step -> new Thread(step, "mangowall-leave").start());
         }
         return left;
@@ -96,7 +97,6 @@
 
     private void runLeave() {
         LOG.info("the shutdown begins; no new callers are asked to come here");
-        parts.setState(ServiceState.LEAVING);
         parts.control().leave();
         parts.decisions().post(new DecisionEvent.LeaveBegan());
         pause(settings.caller().entryHostsKeepTime());
--- a/mangowall-router/src/main/java/org/mangowall/router/RouterParts.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/RouterParts.java
@@ -90,8 +90,8 @@
         PeerDispatcher dispatcher = new PeerDispatcher(entryDesk, homeDesk, decisions, metrics, this::control);
         this.peers =
                 new PeerNetwork(identity, settings.peer(), metrics, clock, eventLoops, dispatcher, settings.seed());
-        FleetPages pages =
-                new FleetPages(settings.zone(), settings.caller().entryHostsKeepTime(), fleet::view, fleet::inventory);
+        FleetPages pages = new FleetPages(
+                identity, settings.caller().entryHostsKeepTime(), this::state, fleet::view, fleet::inventory);
         this.callerServer = new CallerServer(settings.caller(), eventLoops, entryDesk, pages, this::state);
         OperatorPages operatorPages =
                 new OperatorPages(identity, this::state, fleet::inventory, fleet::view, decisions::status, records);
--- a/mangowall-router/src/main/java/org/mangowall/router/caller/CallerHandler.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/caller/CallerHandler.java
@@ -7,6 +7,7 @@
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -155,7 +156,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable failure) {
-        if (!(failure instanceof IOException)) {
+        if (!(failure instanceof IOException) && !(failure instanceof PrematureChannelClosureException)) {
             LOG.error(failure, "the connection of a caller failed");
         }
         context.close();
--- a/mangowall-router/src/main/java/org/mangowall/router/caller/FleetPages.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/caller/FleetPages.java
@@ -13,7 +13,7 @@
 import org.mangowall.inventory.Inventory;
 import org.mangowall.kernel.failure.FailureCode;
 import org.mangowall.kernel.failure.MangowallException;
-import org.mangowall.kernel.name.ZoneName;
+import org.mangowall.policy.RouterIdentity;
 import org.mangowall.policy.fleet.FleetMember;
 import org.mangowall.policy.fleet.FleetView;
 import org.mangowall.policy.fleet.MemberState;
@@ -23,15 +23,22 @@
 
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
-    private final ZoneName zone;
+    private final RouterIdentity identity;
     private final Duration keepTime;
+    private final Supplier<ServiceState> state;
     private final Supplier<FleetView> view;
     private final Supplier<Inventory> inventory;
 
-    /** Creates the pages of a router in the given zone. */
-    public FleetPages(ZoneName zone, Duration keepTime, Supplier<FleetView> view, Supplier<Inventory> inventory) {
-        this.zone = zone;
+    /** Creates the pages of a router. */
+    public FleetPages(
+            RouterIdentity identity,
+            Duration keepTime,
+            Supplier<ServiceState> state,
+            Supplier<FleetView> view,
+            Supplier<Inventory> inventory) {
+        this.identity = identity;
         this.keepTime = keepTime;
+        this.state = state;
         this.view = view;
         this.inventory = inventory;
     }
@@ -55,10 +62,18 @@
         Inventory current = inventory.get();
         List<FleetMember> members = new ArrayList<>(view.get().members().values());
         members.removeIf(member -> member.state() != MemberState.ALIVE);
-        members.sort(Comparator.comparingInt(member -> current.distance(zone, member.zone())));
+        if (isLeaving()) {
+            members.removeIf(member -> member.name().equals(identity.name()));
+        }
+        members.sort(Comparator.comparingInt(member -> current.distance(identity.zone(), member.zone())));
         return members;
     }
 
+    private boolean isLeaving() {
+        ServiceState current = state.get();
+        return current == ServiceState.LEAVING || current == ServiceState.DRAINING;
+    }
+
     /** One word on the state of the process. */
     byte[] state(String word) {
         return write(MAPPER.createObjectNode().put("status", word));
