Claim idempotency keys by conditional updates, and run the fleet by membership

Cause: a second try with a caller's key must meet the first one's outcome on any router, also after restarts, and the router's view came from the platform's lagging list alone. Change: 64 key partitions with one object each; a claim is granted only when the object is known to hold it; claims are written in groups under a budget; lost writes are fenced by the next conditional update; an entry asks one holder once and gives late grants back. The control plane 'membership' joins membership, configuration and claims to the router and is the default. Conclusion: safety does not depend on who believes to hold a partition.

--- /dev/null
+++ b/mangowall-claims/src/test/java/org/mangowall/claims/ClaimsCoreTest.java
@@ -0,0 +1,241 @@
+package org.mangowall.claims;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.mangowall.kernel.name.RequestIdentifier;
+import org.mangowall.kernel.name.RouterName;
+import org.mangowall.kernel.name.ZoneName;
+import org.mangowall.kernel.time.PausedClock;
+import org.mangowall.platform.memory.InMemoryPlatform;
+import org.mangowall.platform.retry.ConditionalWriter;
+import org.mangowall.policy.fleet.FleetMember;
+import org.mangowall.policy.fleet.FleetView;
+import org.mangowall.policy.fleet.MemberState;
+import org.mangowall.protocol.ClaimVerdict;
+import org.mangowall.protocol.StoredAnswer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class ClaimsCoreTest {
+
+    private static final RouterName ENTRY = new RouterName("entry-1");
+    private static final Duration TICK = Duration.ofMillis(20);
+
+    private final PausedClock clock = new PausedClock(Instant.ofEpochSecond(1_000_000));
+    private final InMemoryPlatform platform = new InMemoryPlatform(clock);
+    private final Map<RequestIdentifier, ClaimAction.AnswerClaim> answers = new HashMap<>();
+    private final FleetView view = FleetView.of(
+            List.of(new FleetMember(ENTRY, 1, new ZoneName("zone-1"), "10.0.0.1", 8080, 9090, MemberState.ALIVE)));
+    private ClaimsCore core;
+    private long sequence;
+
+    @BeforeEach
+    void start() {
+        core = newCore(ClaimSettings.defaults());
+    }
+
+    private ClaimsCore newCore(ClaimSettings settings) {
+        ClaimsCore made = new ClaimsCore(settings, clock, 7);
+        made.handle(new ClaimEvent.FleetChanged(view));
+        return made;
+    }
+
+    private void handle(ClaimEvent event) {
+        for (ClaimAction action : core.handle(event)) {
+            switch (action) {
+                case ClaimAction.AnswerClaim answer -> answers.put(answer.request(), answer);
+                case ClaimAction.ReadObject read -> handle(resultOf(read));
+                case ClaimAction.WriteObject write -> handle(resultOf(write));
+            }
+        }
+    }
+
+    private ClaimEvent resultOf(ClaimAction.ReadObject read) {
+        return platform.read(ClaimPartitions.object(read.partition()))
+                .handle((object, failure) -> failure == null
+                        ? (ClaimEvent) new ClaimEvent.ObjectRead(read.partition(), object)
+                        : new ClaimEvent.ReadFailed(read.partition()))
+                .join();
+    }
+
+    private ClaimEvent resultOf(ClaimAction.WriteObject write) {
+        return platform.write(ClaimPartitions.object(write.partition()), write.expectedVersion(), write.content())
+                .handle((version, failure) -> failure == null
+                        ? (ClaimEvent) new ClaimEvent.ObjectWritten(write.partition(), version)
+                        : new ClaimEvent.WriteFailed(write.partition(), ConditionalWriter.codeOf(failure)))
+                .join();
+    }
+
+    private void run(Duration time) {
+        for (long tick = 0; tick < time.dividedBy(TICK); tick++) {
+            clock.advance(TICK);
+            handle(new ClaimEvent.ClockTicked());
+        }
+    }
+
+    private RequestIdentifier ask(String key) {
+        return ask(key, "content");
+    }
+
+    private RequestIdentifier ask(String key, String content) {
+        RequestIdentifier request = new RequestIdentifier(ENTRY, 1, ++sequence);
+        handle(new ClaimEvent.ClaimAsked(request, key, content));
+        return request;
+    }
+
+    private void settle(RequestIdentifier request, String key, boolean ran, Optional<StoredAnswer> answer) {
+        handle(new ClaimEvent.ClaimSettled(request, key, ran, answer));
+    }
+
+    private ClaimVerdict verdict(RequestIdentifier request) {
+        run(Duration.ofSeconds(3));
+        return answers.get(request).verdict();
+    }
+
+    @Test
+    void aKeyIsGrantedOnceAndItsAnswerIsRepeated() {
+        RequestIdentifier first = ask("key");
+        assertEquals(ClaimVerdict.GRANTED, verdict(first));
+        assertEquals(ClaimVerdict.IN_PROGRESS, verdict(ask("key")));
+        settle(first, "key", true, Optional.of(new StoredAnswer(201, List.of(), new byte[3])));
+        RequestIdentifier later = ask("key");
+        assertEquals(ClaimVerdict.COMPLETED, verdict(later));
+        assertEquals(201, answers.get(later).answer().orElseThrow().status());
+        assertEquals(ClaimVerdict.MISMATCH, verdict(ask("key", "other content")));
+    }
+
+    @Test
+    void aRequestThatHasNotRunGivesItsKeyBack() {
+        RequestIdentifier first = ask("key");
+        assertEquals(ClaimVerdict.GRANTED, verdict(first));
+        settle(first, "key", false, Optional.empty());
+        run(Duration.ofSeconds(1));
+        assertEquals(ClaimVerdict.GRANTED, verdict(ask("key")));
+    }
+
+    @Test
+    void anotherHolderWithEmptyStateKeepsTheClaimButNotTheAnswer() {
+        RequestIdentifier first = ask("key");
+        settle(first, "key", true, Optional.of(new StoredAnswer(201, List.of(), new byte[3])));
+        run(Duration.ofSeconds(1));
+        core = newCore(ClaimSettings.defaults());
+        RequestIdentifier later = ask("key");
+        assertEquals(ClaimVerdict.COMPLETED, verdict(later));
+        assertTrue(answers.get(later).answer().isEmpty());
+    }
+
+    @Test
+    void aCrashedClaimantLeavesAnUnknownOutcome() {
+        ask("key");
+        run(Duration.ofSeconds(1));
+        FleetMember restarted =
+                new FleetMember(ENTRY, 2, new ZoneName("zone-1"), "10.0.0.1", 8080, 9090, MemberState.ALIVE);
+        handle(new ClaimEvent.FleetChanged(FleetView.of(List.of(restarted))));
+        assertEquals(ClaimVerdict.OUTCOME_UNKNOWN, verdict(ask("key")));
+    }
+
+    @Test
+    void aLostAnswerIsSettledByReadingBack() {
+        platform.loseAnswers(1);
+        assertEquals(ClaimVerdict.GRANTED, verdict(ask("key")));
+        assertEquals(1, platform.writes());
+    }
+
+    @Test
+    void aRaceWithAnotherHolderIsDecidedByThePlatform() {
+        RequestIdentifier warm = ask("key-of-first");
+        assertEquals(ClaimVerdict.GRANTED, verdict(warm));
+        ClaimsCore first = core;
+        core = newCore(ClaimSettings.defaults());
+        assertEquals(ClaimVerdict.GRANTED, verdict(ask("key")));
+        core = first;
+        assertEquals(ClaimVerdict.IN_PROGRESS, verdict(ask("key")));
+    }
+
+    @Test
+    void withoutThePlatformOnlyStandingClaimsAreAnswered() {
+        RequestIdentifier first = ask("key");
+        settle(first, "key", true, Optional.of(new StoredAnswer(201, List.of(), new byte[3])));
+        run(Duration.ofSeconds(1));
+        platform.setDown(true);
+        RequestIdentifier refused = ask("other key");
+        assertEquals(ClaimVerdict.UNAVAILABLE, verdict(refused));
+        assertEquals(ClaimVerdict.COMPLETED, verdict(ask("key")));
+        platform.setDown(false);
+        run(Duration.ofSeconds(6));
+        assertEquals(ClaimVerdict.GRANTED, verdict(ask("other key")));
+    }
+
+    @Test
+    void anHourOfOutageUnderLoadEndsWithoutARush() {
+        platform.setDown(true);
+        long before = platform.calls();
+        for (int second = 0; second < 3600; second++) {
+            for (int index = 0; index < 10; index++) {
+                ask("outage-" + second + "-" + index);
+            }
+            run(Duration.ofSeconds(1));
+            answers.values().forEach(answer -> assertEquals(ClaimVerdict.UNAVAILABLE, answer.verdict()));
+            answers.clear();
+        }
+        double callsPerSecond = (platform.calls() - before) / 3600.0;
+        platform.setDown(false);
+        long most = 0;
+        for (int second = 0; second < 10; second++) {
+            long start = platform.calls();
+            for (int index = 0; index < 10; index++) {
+                ask("after-" + second + "-" + index);
+            }
+            run(Duration.ofSeconds(1));
+            most = Math.max(most, platform.calls() - start);
+        }
+        System.out.printf("outage: %.1f calls a second, after it at most %d in a second%n", callsPerSecond, most);
+        assertTrue(callsPerSecond <= 30, callsPerSecond + " calls a second");
+        assertTrue(most <= 64, most + " calls in a second");
+    }
+
+    @Test
+    void aFloodOfClaimsIsWrittenInGroups() {
+        long before = platform.writes();
+        int seconds = 10;
+        for (int second = 0; second < seconds; second++) {
+            for (int batch = 0; batch < 50; batch++) {
+                for (int index = 0; index < 20; index++) {
+                    ask("flood-" + second + "-" + batch + "-" + index);
+                }
+                run(TICK);
+            }
+        }
+        run(Duration.ofSeconds(1));
+        long writes = platform.writes() - before;
+        long granted = answers.values().stream()
+                .filter(answer -> answer.verdict() == ClaimVerdict.GRANTED)
+                .count();
+        System.out.printf("flood: %d claims in %d s granted by %d writes%n", granted, seconds, writes);
+        assertEquals(10_000, granted);
+        assertTrue(writes <= 64 * (6 + 3 * 12), writes + " writes");
+    }
+
+    @Test
+    void aFullObjectRefusesNewKeysHonestly() {
+        ClaimSettings small = new ClaimSettings(Duration.ofHours(1), Duration.ofSeconds(2), 100, 100, 1000, 400, 1000);
+        core = newCore(small);
+        int refused = 0;
+        for (int index = 0; index < 640; index++) {
+            if (verdict(ask("key-" + index)) == ClaimVerdict.UNAVAILABLE) {
+                refused++;
+            }
+        }
+        assertTrue(refused > 0 && refused < 640, refused + " refused");
+        clock.advance(Duration.ofHours(2));
+        assertEquals(ClaimVerdict.GRANTED, verdict(ask("key-0")));
+    }
+}
--- a/mangowall-membership/src/main/java/org/mangowall/membership/MembershipCore.java
+++ b/mangowall-membership/src/main/java/org/mangowall/membership/MembershipCore.java
@@ -50,6 +50,7 @@
     private long joinPeriods;
     private boolean viewChanged = true;
     private boolean newcomer;
+    private boolean listingSeen;
     private boolean joined;
     private boolean ended;
 
@@ -105,6 +106,9 @@
     private void answerProbe(MembershipEvent.ProbeReceived probe) {
         probe.members().forEach(member -> mergeNews(probe.from(), member, true));
         table.answered(probe.from());
+        if (!listingSeen) {
+            askMembers(probe.from());
+        }
         table.find(probe.from())
                 .ifPresent(peer -> actions.add(new MembershipAction.SendProbeAnswer(
                         peer.name(), probe.sequence(), news.compose(self, peer, peerCount()))));
@@ -115,10 +119,11 @@
         boolean isNews = answer.sequence() != LISTING_SEQUENCE;
         answer.members().forEach(member -> mergeNews(answer.from(), member, isNews));
         table.answered(answer.from());
+        listingSeen |= !isNews;
         if (!joined) {
             join();
-            askMembers(answer.from());
-        } else if (missing.hasUnknown(table)) {
+        }
+        if (!listingSeen || missing.hasUnknown(table)) {
             askMembers(answer.from());
         } else {
             membersAskInterval = FIRST_MEMBERS_ASK_INTERVAL;
--- a/mangowall-router/src/main/java/org/mangowall/router/RouterSettings.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/RouterSettings.java
@@ -47,7 +47,7 @@
         long seed) {
 
     static final String DEFAULT_SCHEDULING_POLICY = "fair";
-    static final String DEFAULT_CONTROL_PLANE = "polling";
+    static final String DEFAULT_CONTROL_PLANE = "membership";
     static final int DEFAULT_IO_THREADS = 2;
     static final int DEFAULT_DECISION_RING_EVENTS = 8192;
 
--- /dev/null
+++ b/mangowall-router/src/main/java/org/mangowall/router/control/MembershipControlPlane.java
@@ -0,0 +1,64 @@
+package org.mangowall.router.control;
+
+import org.mangowall.kernel.name.RouterName;
+import org.mangowall.protocol.PeerMessage;
+import org.mangowall.router.spi.ClaimGate;
+import org.mangowall.router.spi.ConfigurationAccess;
+import org.mangowall.router.spi.ControlContext;
+import org.mangowall.router.spi.ControlPlane;
+
+/** Membership by probes, configuration by watches and peers, claims by conditional updates. */
+final class MembershipControlPlane implements ControlPlane {
+
+    private final FleetDuty fleet;
+    private final ClaimsDuty claims;
+    private final OperatorConfiguration configuration;
+
+    MembershipControlPlane(ControlContext context) {
+        this.claims = new ClaimsDuty(context);
+        this.fleet = new FleetDuty(context, claims::viewChanged);
+        this.configuration = new OperatorConfiguration(context, fleet);
+    }
+
+    @Override
+    public void start() {
+        claims.start();
+        fleet.start();
+    }
+
+    @Override
+    public void messageReceived(RouterName from, long incarnation, PeerMessage message) {
+        switch (message) {
+            case PeerMessage.ClaimAsk ask -> claims.asked(from, ask);
+            case PeerMessage.ClaimAnswer answer -> claims.answered(from, answer);
+            case PeerMessage.ClaimSettled settled -> claims.settled(settled);
+            default -> fleet.receive(from, message);
+        }
+    }
+
+    @Override
+    public ClaimGate claims() {
+        return claims;
+    }
+
+    @Override
+    public ConfigurationAccess configuration() {
+        return configuration;
+    }
+
+    @Override
+    public boolean isReady() {
+        return fleet.isJoined();
+    }
+
+    @Override
+    public void leave() {
+        fleet.leave();
+    }
+
+    @Override
+    public void close() {
+        fleet.close();
+        claims.close();
+    }
+}
--- /dev/null
+++ b/mangowall-router/src/main/java/org/mangowall/router/control/MembershipControlPlaneProvider.java
@@ -0,0 +1,19 @@
+package org.mangowall.router.control;
+
+import org.mangowall.router.spi.ControlContext;
+import org.mangowall.router.spi.ControlPlane;
+import org.mangowall.router.spi.ControlPlaneProvider;
+
+/** The control plane named {@code membership}. */
+public final class MembershipControlPlaneProvider implements ControlPlaneProvider {
+
+    @Override
+    public String pluginName() {
+        return "membership";
+    }
+
+    @Override
+    public ControlPlane create(ControlContext context) {
+        return new MembershipControlPlane(context);
+    }
+}
--- /dev/null
+++ b/mangowall-router/src/test/java/org/mangowall/router/control/MembershipControlPlaneTest.java
@@ -0,0 +1,194 @@
+package org.mangowall.router.control;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+
+import com.sun.net.httpserver.HttpServer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.mangowall.inventory.document.InventoryDocument;
+import org.mangowall.kernel.name.RouterName;
+import org.mangowall.kernel.name.ZoneName;
+import org.mangowall.kernel.time.MonotonicClock;
+import org.mangowall.platform.memory.InMemoryPlatform;
+import org.mangowall.platform.memory.SharedPlatform;
+import org.mangowall.router.Router;
+import org.mangowall.router.RouterSettings;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Whole routers with this control plane, on a platform in memory. */
+class MembershipControlPlaneTest {
+
+    private static final int ROUTERS = 3;
+    private static final int MAXIMUM_ASKS = 100_000;
+    private static final String PATH = "/services/register/entries";
+
+    private final InMemoryPlatform platform = new InMemoryPlatform(new MonotonicClock());
+    private final HttpClient client = HttpClient.newHttpClient();
+    private final List<Router> routers = new ArrayList<>();
+    private final AtomicInteger runs = new AtomicInteger();
+    private HttpServer runner;
+
+    @BeforeEach
+    void start() throws IOException {
+        runner = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+        runner.createContext("/entries", exchange -> {
+            byte[] answer = ("run " + runs.incrementAndGet()).getBytes(StandardCharsets.UTF_8);
+            exchange.getRequestBody().readAllBytes();
+            exchange.sendResponseHeaders(201, answer.length);
+            exchange.getResponseBody().write(answer);
+            exchange.close();
+        });
+        runner.start();
+        platform.write(OperatorConfiguration.INVENTORY, 0, document(1.0)).join();
+        for (int index = 1; index <= ROUTERS; index++) {
+            routers.add(startRouter(index));
+        }
+        await(() -> routers.stream().allMatch(router -> isReady(router) && router.knownRouters() == ROUTERS));
+    }
+
+    @AfterEach
+    void stop() {
+        routers.forEach(Router::close);
+        runner.stop(0);
+    }
+
+    private Router startRouter(int index) {
+        RouterSettings settings = RouterSettings.embedded(
+                        new RouterName("router-" + index), new ZoneName("zone-" + index), URI.create("http://none"))
+                .withPlugins("round-robin", "membership");
+        return Router.start(settings, new SharedPlatform(platform), new MonotonicClock());
+    }
+
+    private byte[] document(double weight) {
+        String toml = """
+                [[regions]]
+                name = "region"
+                availability_zones = ["zone-1", "zone-2", "zone-3"]
+                [[services]]
+                name = "register"
+                kind = "plain"
+                [[runners]]
+                name = "register-1"
+                service = "register"
+                zone = "zone-1"
+                address = "127.0.0.1:%d"
+                slots = 8
+                [[workspaces]]
+                name = "school"
+                weight = %s
+                """.formatted(runner.getAddress().getPort(), weight);
+        return InventoryDocument.parseToml("test", toml).toJson();
+    }
+
+    private static void await(BooleanSupplier condition) {
+        for (int ask = 0; ask < MAXIMUM_ASKS; ask++) {
+            if (condition.getAsBoolean()) {
+                return;
+            }
+            LockSupport.parkNanos(1_000_000);
+        }
+        throw new IllegalStateException("the condition did not come about");
+    }
+
+    private boolean isReady(Router router) {
+        URI uri = URI.create("http://127.0.0.1:" + router.callerPort() + "/mangowall/ready");
+        return send(HttpRequest.newBuilder(uri)).statusCode() == 200;
+    }
+
+    private HttpResponse<String> send(HttpRequest.Builder request) {
+        try {
+            return client.send(request.timeout(Duration.ofSeconds(20)).build(), HttpResponse.BodyHandlers.ofString());
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        } catch (InterruptedException failure) {
+            throw new IllegalStateException(failure);
+        }
+    }
+
+    private HttpResponse<String> post(int router, String key, String body) {
+        URI uri = URI.create("http://127.0.0.1:" + routers.get(router).callerPort() + PATH);
+        HttpRequest.Builder request = HttpRequest.newBuilder(uri)
+                .header("x-workspace", "school")
+                .POST(HttpRequest.BodyPublishers.ofString(body));
+        return send(key.isEmpty() ? request : request.header("idempotency-key", key));
+    }
+
+    private HttpResponse<String> put(int router, long expectedVersion, byte[] document) {
+        URI uri = URI.create("http://127.0.0.1:" + routers.get(router).operatorPort() + "/mangowall/configuration");
+        return send(HttpRequest.newBuilder(uri)
+                .header("x-expected-version", Long.toString(expectedVersion))
+                .PUT(HttpRequest.BodyPublishers.ofByteArray(document)));
+    }
+
+    private static String outcome(HttpResponse<String> answer) {
+        return answer.headers().firstValue("x-mangowall-outcome").orElse("");
+    }
+
+    @Test
+    void aKeyRunsOnceWhicheverRouterIsAsked() {
+        for (int key = 0; key < 10; key++) {
+            HttpResponse<String> first = post(key % ROUTERS, "key-" + key, "certify");
+            assertEquals(201, first.statusCode(), first.body());
+            int earlierRuns = runs.get();
+            for (int router = 0; router < ROUTERS; router++) {
+                HttpResponse<String> again = post(router, "key-" + key, "certify");
+                assertTrue(again.statusCode() == 201 || again.statusCode() == 409, again.body());
+            }
+            assertEquals(earlierRuns, runs.get());
+            assertEquals(422, post(0, "key-" + key, "other content").statusCode());
+        }
+        assertEquals(10, runs.get());
+    }
+
+    @Test
+    void aRestartedFleetStillKnowsItsClaims() {
+        assertEquals(201, post(0, "key", "certify").statusCode());
+        for (int index = 0; index < ROUTERS; index++) {
+            routers.get(index).close();
+            routers.set(index, startRouter(index + 1));
+        }
+        await(() -> routers.stream().allMatch(this::isReady));
+        HttpResponse<String> again = post(1, "key", "certify");
+        assertEquals(409, again.statusCode(), again.body());
+        assertEquals(1, runs.get());
+    }
+
+    @Test
+    void withoutThePlatformKeyedRequestsAreRefusedAsNotRunAndOthersGoOn() {
+        platform.setDown(true);
+        HttpResponse<String> refused = post(0, "key", "certify");
+        assertEquals(503, refused.statusCode());
+        assertEquals("not-run", outcome(refused));
+        assertEquals(0, runs.get());
+        assertEquals(201, post(1, "", "certify").statusCode());
+    }
+
+    @Test
+    void aConfigurationIsInForceEverywhereAndALateOneIsToldSo() {
+        assertEquals(200, put(0, 1, document(2.0)).statusCode());
+        assertEquals(409, put(1, 1, document(3.0)).statusCode());
+        await(() -> routers.stream().allMatch(router -> router.configurationVersion() == 2));
+        platform.loseAnswers(1);
+        assertEquals(200, put(2, 2, document(4.0)).statusCode());
+        await(() -> routers.stream().allMatch(router -> router.configurationVersion() == 3));
+        platform.setDown(true);
+        assertEquals(503, put(0, 3, document(5.0)).statusCode());
+    }
+}
