--- a/mangowall-router/src/main/java/org/mangowall/router/RouterParts.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/RouterParts.java
@@ -29,6 +29,7 @@
 import org.mangowall.router.decision.DecisionRecords;
 import org.mangowall.router.decision.RouterActions;
 import org.mangowall.router.home.HomeDesk;
+import org.mangowall.router.metrics.RouterGauges;
 import org.mangowall.router.metrics.RouterMetrics;
 import org.mangowall.router.operator.OperatorPages;
 import org.mangowall.router.operator.OperatorServer;
@@ -89,14 +90,27 @@
         PeerDispatcher dispatcher = new PeerDispatcher(entryDesk, homeDesk, decisions, metrics, this::control);
         this.peers =
                 new PeerNetwork(identity, settings.peer(), metrics, clock, eventLoops, dispatcher, settings.seed());
-        FleetPages pages =
-                new FleetPages(settings.zone(), settings.caller().entryHostsKeepTime(), fleet::view, fleet::inventory);
+        FleetPages pages = new FleetPages(
+                identity, settings.caller().entryHostsKeepTime(), this::state, fleet::view, fleet::inventory);
         this.callerServer = new CallerServer(settings.caller(), eventLoops, entryDesk, pages, this::state);
         OperatorPages operatorPages =
                 new OperatorPages(identity, this::state, fleet::inventory, fleet::view, decisions::status, records);
         this.operatorServer = new OperatorServer(
                 eventLoops, operatorPages, metrics.registry(), control.configuration(), settings.operatorTokenFile());
         this.runnerWatch = runnerWatch();
+        registerGauges();
+    }
+
+    private void registerGauges() {
+        RouterGauges gauges = new RouterGauges(metrics.registry(), decisions::status);
+        gauges.registerAll();
+        gauges.single("mangowall_entry_open_requests", "Open requests of callers", entryDesk::openRequests);
+        gauges.single("mangowall_home_open_requests", "Open requests of other entries", homeDesk::openRequests);
+        gauges.single("mangowall_buffered_body_bytes", "Bodies of requests held", entryDesk::bufferedBytes);
+        gauges.single(
+                "mangowall_decision_ring_events",
+                "Events that wait for the decision duty",
+                () -> decisions.duty().depth());
     }
 
     private Duty<Runnable> runnerWatch() {
