Count idle periods and unanswered heartbeats apart

Cause: PeerFrameHandler counted every silent period as a missed heartbeat, so that the first request after idleness closed its connection and ended as home-lost; seen on three router processes, shown by PeerSilenceTest, listed in KNOWN-RED.txt. Change: only heartbeats that were asked for and not answered count. An idle connection is given up by the side that opened it, under the lock under which messages are sent, after 30 s instead of two minutes, so that no request meets the closing. Log lines went out twice, by the log manager's own handler and by ours; now once. Fewer and smaller buffers of Netty.

--- a/mangowall-router/src/main/java/org/mangowall/router/LogSetup.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/LogSetup.java
@@ -21,6 +21,9 @@
     static void apply(LogFormat format) {
         LogManager.getLogManager().reset();
         Logger root = Logger.getLogger("");
+        for (Handler previous : root.getHandlers()) {
+            root.removeHandler(previous);
+        }
         Handler handler = new ConsoleHandler();
         handler.setLevel(Level.INFO);
         handler.setFormatter(format == LogFormat.JSON ? new JsonLines() : new TextLines());
--- a/mangowall-router/src/main/java/org/mangowall/router/PeerSettings.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/PeerSettings.java
@@ -20,5 +20,5 @@
 
     /** The usual timing. */
     public static final PeerSettings DEFAULTS =
-            new PeerSettings(Duration.ofSeconds(1), Duration.ofSeconds(1), 4, Duration.ofMinutes(2), 512);
+            new PeerSettings(Duration.ofSeconds(1), Duration.ofSeconds(1), 4, Duration.ofSeconds(30), 512);
 }
--- a/mangowall-router/src/main/java/org/mangowall/router/RouterMain.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/RouterMain.java
@@ -2,6 +2,7 @@
 
 import java.io.PrintStream;
 import java.nio.file.Path;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 
 import com.beust.jcommander.JCommander;
@@ -15,12 +16,17 @@
     private static final int EXIT_FAILED = 1;
     private static final int EXIT_BAD_SETTINGS = 2;
     private static final String PROGRAM = "mangowall-router";
+    private static final Map<String, String> SMALL_MEMORY = Map.of(
+            "io.netty.allocator.numDirectArenas", "2",
+            "io.netty.allocator.numHeapArenas", "1",
+            "io.netty.allocator.maxOrder", "5");
 
     private RouterMain() {}
 
     /** Runs a router until the process is asked to end; bad settings end it with code 2. */
     public static void main(String[] arguments) {
         System.setProperty("java.util.logging.manager", "org.jboss.logmanager.LogManager");
+        SMALL_MEMORY.forEach((property, value) -> System.getProperties().putIfAbsent(property, value));
         int exitCode = run(arguments, System.out, System.err);
         if (exitCode != EXIT_OK) {
             System.exit(exitCode);
--- a/mangowall-router/src/main/java/org/mangowall/router/peer/DialedListener.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/peer/DialedListener.java
@@ -40,4 +40,9 @@
         link.closed(connection);
         next.disconnected(connection);
     }
+
+    @Override
+    public boolean mayClose(PeerConnection connection) {
+        return link.retire(connection);
+    }
 }
--- a/mangowall-router/src/main/java/org/mangowall/router/peer/PeerFrameHandler.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/peer/PeerFrameHandler.java
@@ -21,13 +21,15 @@
 final class PeerFrameHandler extends SimpleChannelInboundHandler<ByteBuf> {
 
     private static final PartLog LOG = PartLog.of("peer");
+    private static final int ACCEPTED_IDLE_FACTOR = 4;
 
     private final PeerConnection connection;
     private final PeerMessage.Hello ownHello;
     private final PeerSettings settings;
     private final PeerListener listener;
     private final RouterMetrics metrics;
-    private int silentPeriods;
+    private int idlePeriods;
+    private int unansweredHeartbeats;
     private long heartbeatSequence;
 
     PeerFrameHandler(
@@ -66,7 +68,8 @@
     protected void channelRead0(ChannelHandlerContext context, ByteBuf buffer) {
         byte[] bytes = new byte[buffer.readableBytes()];
         buffer.readBytes(bytes);
-        silentPeriods = 0;
+        idlePeriods = 0;
+        unansweredHeartbeats = 0;
         PeerFrame frame = PeerFrameCodec.decode(bytes);
         MessageType type = MessageType.of(frame.message());
         metrics.frameReceived(type, bytes.length + PeerFrameCodec.LENGTH_BYTES);
@@ -133,24 +136,33 @@
     }
 
     private void checkSilence(ChannelHandlerContext context) {
-        silentPeriods++;
         if (connection.openRequests() > 0) {
+            idlePeriods = 0;
             askForLife(context);
             return;
         }
-        long idleMillis = settings.heartbeatPeriod().toMillis() * silentPeriods;
-        if (idleMillis >= settings.idleTimeout().toMillis()) {
+        unansweredHeartbeats = 0;
+        idlePeriods++;
+        long idleMillis = settings.heartbeatPeriod().toMillis() * idlePeriods;
+        if (idleMillis >= idleLimitMillis() && listener.mayClose(connection)) {
             context.close();
         }
     }
 
+    /** The opener ends an idle connection; the other side does so much later, in case the opener is gone. */
+    private long idleLimitMillis() {
+        long limit = settings.idleTimeout().toMillis();
+        return connection.isOpener() ? limit : limit * ACCEPTED_IDLE_FACTOR;
+    }
+
     private void askForLife(ChannelHandlerContext context) {
-        if (silentPeriods > settings.missedHeartbeats()) {
+        if (unansweredHeartbeats >= settings.missedHeartbeats()) {
             metrics.silentConnection("peer");
             LOG.warn("closed the silent connection with %s", connection);
             context.close();
             return;
         }
+        unansweredHeartbeats++;
         heartbeatSequence++;
         connection.send(new PeerMessage.Heartbeat(heartbeatSequence, true));
     }
--- a/mangowall-router/src/main/java/org/mangowall/router/peer/PeerLink.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/peer/PeerLink.java
@@ -108,6 +108,15 @@
         lost.forEach(message -> message.dropped().run());
     }
 
+    /** Gives the connection up if no request depends on it; the next message opens another one. */
+    synchronized boolean retire(PeerConnection idle) {
+        if (idle.openRequests() > 0) {
+            return false;
+        }
+        closed(idle);
+        return true;
+    }
+
     synchronized void closed(PeerConnection gone) {
         if (connection == gone) {
             connection = null;
--- a/mangowall-router/src/main/java/org/mangowall/router/peer/PeerListener.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/peer/PeerListener.java
@@ -16,4 +16,13 @@
 
     /** The connection is gone. */
     void disconnected(PeerConnection connection);
+
+    /**
+     * Nothing came on the connection for long and no request depends on it.
+     *
+     * @return whether it may be closed; from then on nothing more is sent on it
+     */
+    default boolean mayClose(PeerConnection connection) {
+        return true;
+    }
 }
--- a/mangowall-router/src/test/java/org/mangowall/router/peer/PeerSilenceTest.java
+++ b/mangowall-router/src/test/java/org/mangowall/router/peer/PeerSilenceTest.java
@@ -4,7 +4,6 @@
 
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.timeout.IdleStateEvent;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.mangowall.kernel.name.RouterName;
 import org.mangowall.kernel.name.ZoneName;
@@ -35,7 +34,6 @@
     }
 
     @Test
-    @Tag("known-red")
     void theFirstRequestAfterIdlenessIsGivenItsHeartbeats() {
         beSilent(IDLE_PERIODS);
         connection.requestOpened();
