Let the engine stand-in resume a stream

Cause: engines resume and cancel streams; the stand-in could only cancel.

Change: a streamed request with x-resume-after-tokens leaves out the first tokens and counts only the others as usage; another value than a whole number is refused.

Conclusion: a router that resumes streams can now be built against it.

--- a/mangowall-standin/src/main/java/org/mangowall/standin/engine/ModelEngineStandIn.java
+++ b/mangowall-standin/src/main/java/org/mangowall/standin/engine/ModelEngineStandIn.java
@@ -15,6 +15,7 @@
 public final class ModelEngineStandIn implements RunnerStandIn {
 
     private static final String COMPLETIONS_PATH = "/v1/chat/completions";
+    private static final String RESUME_HEADER = "x-resume-after-tokens";
 
     private final ModelEngineSettings settings;
     private final SideEffectLedger ledger;
@@ -43,7 +44,7 @@
             call.answerText(404, "an engine has " + COMPLETIONS_PATH);
             return;
         }
-        ChatRequest request = ChatRequest.parse(call.body());
+        ChatRequest request = ChatRequest.parse(call.body()).resumedAfter(call.header(RESUME_HEADER));
         process.admit(call, slot -> begin(call, request, slot));
     }
 
@@ -88,6 +89,7 @@
         private final WorkSlot slot;
         private final List<String> tokens;
         private final ChatEvents events;
+        private final int resumedAfter;
         private int sent;
 
         TokenStream(HttpCall call, ChatRequest request, WorkSlot slot, List<String> tokens) {
@@ -95,6 +97,8 @@
             this.slot = slot;
             this.tokens = tokens;
             this.events = new ChatEvents(request);
+            this.sent = Math.min(request.resumeAfterTokens(), tokens.size());
+            this.resumedAfter = sent;
         }
 
         void begin() {
@@ -102,6 +106,10 @@
                 return;
             }
             call.beginStream(200, Map.of("content-type", "text/event-stream"));
+            if (sent == tokens.size()) {
+                end();
+                return;
+            }
             sendToken();
         }
 
@@ -124,7 +132,7 @@
                 call.abort();
                 return;
             }
-            call.writePiece(events.usageEvent(tokens.size()));
+            call.writePiece(events.usageEvent(tokens.size() - resumedAfter));
             call.writePiece(ChatEvents.doneEvent());
             call.endStream();
         }
--- a/mangowall-standin/src/test/java/org/mangowall/standin/engine/ModelEngineStandInTest.java
+++ b/mangowall-standin/src/test/java/org/mangowall/standin/engine/ModelEngineStandInTest.java
@@ -69,6 +69,23 @@
         assertTrue(events.endsWith("data: [DONE]\n\n"), events);
     }
 
+    @Test
+    void aResumedStreamLeavesOutWhatTheCallerHas() throws Exception {
+        String events = probe.call("POST", PATH, body(true), "x-resume-after-tokens", "1")
+                .body();
+        int rest = ModelAnswer.tokens(PROMPT, 8).size() - 1;
+        assertEquals(rest + 2, events.split("\n\n").length);
+        assertTrue(events.contains("\"completion_tokens\":" + rest), events);
+    }
+
+    @Test
+    void aResumeAtNoNumberIsRefused() throws Exception {
+        assertEquals(
+                400,
+                probe.call("POST", PATH, body(true), "x-resume-after-tokens", "-1")
+                        .statusCode());
+    }
+
     @Test
     void aColdEngineFallsOverUnderMoreThanItBears() throws Exception {
         assertEquals(200, control("{\"late_answer_millis\": 600000}").statusCode());
