--- a/mangowall-claims/src/test/java/org/mangowall/claims/ClaimsCoreTest.java
+++ b/mangowall-claims/src/test/java/org/mangowall/claims/ClaimsCoreTest.java
@@ -224,6 +224,18 @@
         assertTrue(writes <= 64 * (6 + 3 * 12), writes + " writes");
     }
 
+    @Test
+    void aClaimTakesLittleRoomInItsObject() {
+        String digest = "0123456789abcdef0123456789abcdef";
+        RequestIdentifier request =
+                new RequestIdentifier(new RouterName("router-qc-est-a-01"), 1_796_338_188_148L, 99999);
+        ClaimRecord record = new ClaimRecord(digest, digest, request, ClaimState.CLAIMED, clock.millis());
+        byte[] content = PartitionCodec.encode(List.of(record));
+        System.out.printf("claim: %d bytes%n", content.length);
+        assertTrue(content.length <= 150);
+        assertEquals(Map.of(digest, record), PartitionCodec.decode(content));
+    }
+
     @Test
     void aFullObjectRefusesNewKeysHonestly() {
         ClaimSettings small = new ClaimSettings(Duration.ofHours(1), Duration.ofSeconds(2), 100, 100, 1000, 400, 1000);
--- a/mangowall-membership/src/test/java/org/mangowall/membership/TargetSizeTest.java
+++ b/mangowall-membership/src/test/java/org/mangowall/membership/TargetSizeTest.java
@@ -1,17 +1,19 @@
 package org.mangowall.membership;
 
+import java.lang.management.ManagementFactory;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 
-import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.mangowall.kernel.name.RouterName;
 import org.mangowall.policy.fleet.MemberState;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** The bounds at 14 zones of 26 routers; it prints what it measures. */
+/** The bounds at the sizes of today and of the target; it prints what it measures. */
 class TargetSizeTest {
 
     private static final RouterName FIRST = new RouterName("router-1-1");
@@ -19,15 +21,21 @@
     private static final long SECONDS_OF_STEADY_STATE = 20;
     private static final long MAXIMUM_BYTES_A_SECOND = 1000;
 
-    @Test
-    void aFleetThatKnowsItselfStaysWithinTheBounds() {
-        FakeFleet fleet = FakeFleet.started(14, 26);
+    @ParameterizedTest
+    @CsvSource({"3, 3", "9, 10", "14, 26"})
+    void aFleetThatKnowsItselfStaysWithinTheBounds(int zones, int routersPerZone) {
+        FakeFleet fleet = FakeFleet.started(zones, routersPerZone);
         fleet.measuring = true;
         fleet.introduceAll();
         fleet.run(Duration.ofSeconds(30));
         assertTrue(fleet.isConverged());
         fleet.bytesOut.clear();
+        long processorNanos = ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
         fleet.run(Duration.ofSeconds(SECONDS_OF_STEADY_STATE));
+        processorNanos = ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime() - processorNanos;
+        System.out.printf(
+                "%d routers: %.4f of a core each, the fake fleet included%n",
+                fleet.cores.size(), processorNanos / 1e9 / SECONDS_OF_STEADY_STATE / fleet.cores.size());
         long largest = largest(fleet) / SECONDS_OF_STEADY_STATE;
         assertTrue(largest < MAXIMUM_BYTES_A_SECOND, largest + " bytes a second");
         fleet.lost.clear();
