--- a/benchmarks/fleet-library.sh
+++ b/benchmarks/fleet-library.sh
@@ -19,7 +19,7 @@
   port_prefix=${PORT_PREFIX:-$example_prefix}
   sed -i "s/127\.0\.0\.1:$example_prefix\([0-9][0-9][0-9]\)/127.0.0.1:$port_prefix\1/g" "$run_directory"/*.toml
   for file in "$run_directory"/router-*.toml; do
-    sed -i "s/^\[router\]/[router]\nscheduling_policy = \"${POLICY:-fair}\"\ncontrol_plane = \"${CONTROL_PLANE:-polling}\"/" "$file"
+    sed -i "s/^\[router\]/[router]\nscheduling_policy = \"${POLICY:-fair}\"\ncontrol_plane = \"${CONTROL_PLANE:-membership}\"/" "$file"
   done
   keep_first_routers
 }
--- a/mangowall-router/src/main/java/org/mangowall/router/LogSetup.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/LogSetup.java
@@ -21,6 +21,9 @@
     static void apply(LogFormat format) {
         LogManager.getLogManager().reset();
         Logger root = Logger.getLogger("");
+        for (Handler present : root.getHandlers()) {
+            root.removeHandler(present);
+        }
         Handler handler = new ConsoleHandler();
         handler.setLevel(Level.INFO);
         handler.setFormatter(format == LogFormat.JSON ? new JsonLines() : new TextLines());
