--- a/mangowall-router/src/main/java/org/mangowall/router/LogSetup.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/LogSetup.java
@@ -21,8 +21,8 @@
     static void apply(LogFormat format) {
         LogManager.getLogManager().reset();
         Logger root = Logger.getLogger("");
-        for (Handler present : root.getHandlers()) {
-            root.removeHandler(present);
+        for (Handler previous : root.getHandlers()) {
+            root.removeHandler(previous);
         }
         Handler handler = new ConsoleHandler();
         handler.setLevel(Level.INFO);
