End every request whose answer can't be written; run nothing after a connection's last request

Cause: reading the code showed that an answer with a field that HTTP can't carry threw inside the network thread and left its caller waiting, and that a pipelined request behind the last one of a connection ran though its answer could not be delivered. Change: what can't be passed on ends as runner-answer-invalid, unknown; a connection that is to close serves nothing more. Shown: a new case in PeerPortTest and one in CallerPortTest; both pass, with the others of the router. Conclusion: two more ways to wait or to run in vain are closed.

--- a/mangowall-router/src/main/java/org/mangowall/router/caller/BoundedAggregator.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/caller/BoundedAggregator.java
@@ -47,7 +47,7 @@
 
     @Override
     protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
-        CallerExchange exchange = new CallerExchange(context.channel(), (HttpRequest) oversized, () -> {});
+        CallerExchange exchange = new CallerExchange(context.channel(), (HttpRequest) oversized, answered -> {});
         exchange.closeAfterAnswer();
         exchange.fail(tooLarge());
     }
--- a/mangowall-router/src/main/java/org/mangowall/router/caller/CallerExchange.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/caller/CallerExchange.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -34,7 +35,7 @@
     private static final String EVENT_STREAM = "text/event-stream";
 
     private final Channel channel;
-    private final Runnable afterAnswer;
+    private final Consumer<CallerExchange> afterAnswer;
     private final boolean canChunk;
     private boolean keepAlive;
     private boolean answerBegan;
@@ -43,7 +44,7 @@
     private boolean eventStream;
     private boolean ended;
 
-    CallerExchange(Channel channel, HttpRequest request, Runnable afterAnswer) {
+    CallerExchange(Channel channel, HttpRequest request, Consumer<CallerExchange> afterAnswer) {
         this.channel = channel;
         this.afterAnswer = afterAnswer;
         this.canChunk = request.protocolVersion().isKeepAliveDefault();
@@ -59,6 +60,11 @@
         return answerBegan;
     }
 
+    /** Whether the connection serves another request after this answer. */
+    boolean isKeptAlive() {
+        return keepAlive;
+    }
+
     void closeAfterAnswer() {
         keepAlive = false;
     }
@@ -167,7 +173,7 @@
             resetOnClose();
         }
         channel.writeAndFlush(new DefaultHttpContent(last)).addListener(ChannelFutureListener.CLOSE);
-        afterAnswer.run();
+        afterAnswer.accept(this);
     }
 
     /** An answer that ends with its connection can only be seen to be cut when the connection is reset. */
@@ -185,6 +191,6 @@
                 channel.close();
             }
         });
-        afterAnswer.run();
+        afterAnswer.accept(this);
     }
 }
--- a/mangowall-router/src/main/java/org/mangowall/router/caller/CallerHandler.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/caller/CallerHandler.java
@@ -30,6 +30,7 @@
     private final Queue<FullHttpRequest> pipelined = new ArrayDeque<>();
     private EntryRequest current;
     private boolean busy;
+    private boolean closing;
 
     CallerHandler(EntryDesk desk, FleetPages pages, Supplier<ServiceState> state) {
         this.desk = desk;
@@ -39,6 +40,9 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+        if (closing) {
+            return;
+        }
         if (busy) {
             pipelined.add(request.retain());
             context.channel().config().setAutoRead(pipelined.size() < MAXIMUM_PIPELINED);
@@ -49,7 +53,8 @@
 
     private void serve(ChannelHandlerContext context, FullHttpRequest request) {
         busy = true;
-        CallerExchange exchange = new CallerExchange(context.channel(), request, () -> answered(context));
+        CallerExchange exchange =
+                new CallerExchange(context.channel(), request, answered -> answered(context, answered));
         if (state.get() == ServiceState.DRAINING) {
             exchange.closeAfterAnswer();
         }
@@ -113,16 +118,17 @@
         }
     }
 
-    private void answered(ChannelHandlerContext context) {
+    private void answered(ChannelHandlerContext context, CallerExchange exchange) {
         busy = false;
         current = null;
+        closing |= !exchange.isKeptAlive();
         if (!pipelined.isEmpty()) {
             context.executor().execute(() -> serveNext(context));
         }
     }
 
     private void serveNext(ChannelHandlerContext context) {
-        if (busy || !context.channel().isActive()) {
+        if (busy || closing || !context.channel().isActive()) {
             return;
         }
         FullHttpRequest next = pipelined.poll();
--- a/mangowall-router/src/main/java/org/mangowall/router/caller/EntryRequest.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/caller/EntryRequest.java
@@ -106,10 +106,22 @@
 
     private void run(Runnable step) {
         if (exchange.channel().eventLoop().inEventLoop()) {
-            step.run();
+            runGuarded(step);
             return;
         }
-        exchange.channel().eventLoop().execute(step);
+        exchange.channel().eventLoop().execute(() -> runGuarded(step));
+    }
+
+    /** An answer that can't be written, such as one with a malformed header field, still ends the request. */
+    private void runGuarded(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException failure) {
+            LOG.error(failure, "the answer of request %s can't be passed on", description.identifier());
+            if (!ended) {
+                failNow(FailureCode.RUNNER_ANSWER_INVALID, Duration.ZERO);
+            }
+        }
     }
 
     private boolean isLate(AnswerOrigin from, MessageType type) {
--- a/mangowall-router/src/main/java/org/mangowall/router/caller/RequestReadTimer.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/caller/RequestReadTimer.java
@@ -33,7 +33,7 @@
     }
 
     private static void refuse(ChannelHandlerContext context, HttpRequest request) {
-        CallerExchange exchange = new CallerExchange(context.channel(), request, () -> {});
+        CallerExchange exchange = new CallerExchange(context.channel(), request, answered -> {});
         exchange.closeAfterAnswer();
         exchange.fail(Problem.of(FailureCode.MALFORMED_REQUEST, "the request did not arrive in time"));
     }
--- a/mangowall-router/src/test/java/org/mangowall/router/CallerPortTest.java
+++ b/mangowall-router/src/test/java/org/mangowall/router/CallerPortTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Whole sessions on the caller port, good and bad. */
 class CallerPortTest {
@@ -143,6 +144,19 @@
         }
     }
 
+    @Test
+    void whatFollowsTheLastRequestOfAConnectionIsNotRun() throws Exception {
+        try (FakeRunner plain = FakeRunner.echo();
+                TestFleet fleet = fleet(plain);
+                RawCaller caller = new RawCaller(fleet.router(0).callerPort())) {
+            String last = RawCaller.plain("POST", "/last", "one").replace("host: h", "connection: close");
+            String answer =
+                    caller.send(last + RawCaller.plain("POST", "/more", "two")).readToEnd();
+            assertTrue(answer.endsWith("/last one"), answer);
+            assertEquals(1, plain.calls().size());
+        }
+    }
+
     @Test
     void randomBytesNeverHarmTheProcess() throws Exception {
         Random random = new Random(20261203);
--- a/mangowall-router/src/test/java/org/mangowall/router/PeerPortTest.java
+++ b/mangowall-router/src/test/java/org/mangowall/router/PeerPortTest.java
@@ -100,6 +100,20 @@
                 "unknown", answer.headers().firstValue("x-mangowall-outcome").orElse(""));
     }
 
+    @Test
+    void anAnswerThatHttpCannotCarryBecomesATypedFailure() throws Exception {
+        HttpResponse<String> answer = post(connection -> {
+            PeerMessage.ForwardRequest forward = connection.await(PeerMessage.ForwardRequest.class);
+            List<HeaderField> malformed = List.of(new HeaderField("x-bad", "one\r\nx-injected: two"));
+            connection.send(new PeerMessage.AnswerHead(
+                    forward.description().identifier(), new RunnerName("register-1"), 200, malformed));
+            connection.read();
+        });
+        assertEquals(502, answer.statusCode());
+        assertTrue(answer.body().contains("\"code\":\"runner-answer-invalid\""), answer.body());
+        assertTrue(answer.headers().firstValue("x-injected").isEmpty());
+    }
+
     @Test
     void aLargeAnswerOfTheWrongLengthIsVisiblyCut() throws Exception {
         HeaderField length = new HeaderField("content-length", "100000");
