--- a/mangowall-router/src/main/java/org/mangowall/router/control/ClaimsDuty.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/control/ClaimsDuty.java
@@ -43,7 +43,7 @@
 final class ClaimsDuty implements ClaimGate, DutyHandler<Runnable>, AutoCloseable {
 
     private static final PartLog LOG = PartLog.of("claims");
-    private static final Duration TICK_PERIOD = Duration.ofMillis(20);
+    private static final Duration TICK_PERIOD = Duration.ofMillis(50);
     private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(4);
     private static final Duration WITHDRAWN_RETENTION = Duration.ofMinutes(2);
     private static final int RING_EVENTS = 8192;
--- a/mangowall-router/src/main/java/org/mangowall/router/decision/DecisionDuty.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/decision/DecisionDuty.java
@@ -18,7 +18,7 @@
 /** The one thread that runs the decision core. */
 public final class DecisionDuty implements DutyHandler<DecisionEvent>, DecisionSink, AutoCloseable {
 
-    private static final Duration TICK_PERIOD = Duration.ofMillis(20);
+    private static final Duration TICK_PERIOD = Duration.ofMillis(50);
     private static final long TICK_MILLIS = 10;
     private static final long STATUS_MILLIS = 200;
     private static final long FULL_RING_WAIT_NANOS = 50_000;
