Add a direct data path and the adapter to the users' platform

Cause: the users' machines speak their own protocol, have no disk and set no host aside for control.

--- /dev/null
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/Admission.java
@@ -0,0 +1,69 @@
+package org.mangowall.edge.decision;
+
+import org.mangowall.edge.model.PromptDescription;
+import org.mangowall.kernel.failure.FailureCode;
+
+/** Decides how long a request may be expected to wait before it is turned away instead. */
+final class Admission {
+
+    /** The part of the goal that a prediction may use up; the rest covers its error and the way to the caller. */
+    private static final double GOAL_SHARE = 0.85;
+    /** What workspaces that take much more than their share may use of the goal. */
+    private static final double OVER_SHARE_GOAL_SHARE = 0.3;
+    /** From this multiple of its share on, a workspace gets the least. */
+    private static final double FAR_OVER_SHARE = 1.5;
+    /** What requests with much reading for little answer may use, against others. */
+    private static final double LEAST_YIELD_FACTOR = 0.6;
+    /** Output counts so much more than input in what an answer is worth to callers. */
+    private static final double OUTPUT_WORTH = 10;
+    /** The worth of a token of engine time from which on a request counts as worth its time. */
+    private static final double GOOD_YIELD = 3;
+    /** An answer that comes late is still worth waiting for up to this part of the caller's patience. */
+    private static final double PATIENCE_SHARE = 0.6;
+
+    private static final double LEAST_RETRY_MILLIS = 50;
+    private static final double MOST_RETRY_MILLIS = 4_000;
+
+    private final FleetLoad fleet;
+    private final long shareWindowNanos;
+
+    Admission(FleetLoad fleet, long shareWindowNanos) {
+        this.fleet = fleet;
+        this.shareWindowNanos = shareWindowNanos;
+    }
+
+    /** The longest predicted wait with which a request is let in, in milliseconds. */
+    double allowedMillis(PlacementRequest request, int unreadTokens, long now) {
+        if (request.prompt().isEmpty()) {
+            return PATIENCE_SHARE * request.leftMillis();
+        }
+        double goal = request.route().latencyGoal().toMillis();
+        double left = Math.max(goal - request.elapsedMillis(), goal / 2);
+        double load = shareLoad(request, now);
+        double over = Math.clamp((load - 1) / (FAR_OVER_SHARE - 1), 0, 1);
+        double share = GOAL_SHARE - (GOAL_SHARE - OVER_SHARE_GOAL_SHARE) * over;
+        return Math.min(left * share * yieldFactor(request.prompt().get(), unreadTokens), request.leftMillis());
+    }
+
+    private static double yieldFactor(PromptDescription prompt, int unreadTokens) {
+        double worth = prompt.promptTokens() + OUTPUT_WORTH * prompt.outputTokens();
+        double time = unreadTokens + 2.0 * prompt.outputTokens() + 1;
+        double yield = worth / time / GOOD_YIELD;
+        return Math.clamp(yield, LEAST_YIELD_FACTOR, 1);
+    }
+
+    PlacementDecision refuse(PlacementRequest request, double predictedMillis, double allowed, long now) {
+        double load = shareLoad(request, now);
+        double untilShare = load <= 1 ? 0 : (load - 1) / load * shareWindowNanos / 1e6;
+        double wait = Math.max(predictedMillis - allowed, untilShare);
+        FailureCode code = load > 1 ? FailureCode.WORKSPACE_OVER_SHARE : FailureCode.RUNNERS_BUSY;
+        return new PlacementDecision.Refuse(
+                code, Math.clamp(wait, LEAST_RETRY_MILLIS, MOST_RETRY_MILLIS), predictedMillis, load);
+    }
+
+    private double shareLoad(PlacementRequest request, long now) {
+        return request.workspace()
+                .map(name -> fleet.shareLoad(name, shareWindowNanos, now))
+                .orElse(0.0);
+    }
+}
--- /dev/null
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/PartCache.java
@@ -0,0 +1,80 @@
+package org.mangowall.edge.decision;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.mangowall.edge.model.PromptPart;
+
+/** The prompt parts that a runner is believed to keep; the least recently used ones yield. */
+final class PartCache {
+
+    private final Map<Long, Kept> parts = new LinkedHashMap<>(16, 0.75f, true);
+    private final long capacityTokens;
+    private long keptTokens;
+
+    PartCache(long capacityTokens) {
+        this.capacityTokens = capacityTokens;
+    }
+
+    long capacityTokens() {
+        return capacityTokens;
+    }
+
+    /** Notes that a runner is going to read a prompt. */
+    void reading(List<PromptPart> prompt) {
+        for (PromptPart part : prompt) {
+            if (parts.get(part.identifier()) == null) {
+                parts.put(part.identifier(), new Kept(part.tokens(), false));
+                keptTokens += part.tokens();
+            }
+        }
+        evict();
+    }
+
+    /** Notes that a runner has read a prompt, so that others may fetch it. */
+    void read(List<PromptPart> prompt) {
+        for (PromptPart part : prompt) {
+            Kept kept = parts.get(part.identifier());
+            if (kept != null && !kept.isRead()) {
+                parts.put(part.identifier(), new Kept(kept.tokens(), true));
+            }
+        }
+    }
+
+    /** How many tokens at the start of a prompt are kept or being read. */
+    int keptTokens(List<PromptPart> prompt) {
+        int tokens = 0;
+        for (PromptPart part : prompt) {
+            if (!parts.containsKey(part.identifier())) {
+                return tokens;
+            }
+            tokens += part.tokens();
+        }
+        return tokens;
+    }
+
+    /** How many tokens at the start of a prompt have been read and can be fetched. */
+    int readTokens(List<PromptPart> prompt) {
+        int tokens = 0;
+        for (PromptPart part : prompt) {
+            Kept kept = parts.get(part.identifier());
+            if (kept == null || !kept.isRead()) {
+                return tokens;
+            }
+            tokens += part.tokens();
+        }
+        return tokens;
+    }
+
+    private void evict() {
+        Iterator<Map.Entry<Long, Kept>> oldest = parts.entrySet().iterator();
+        while (keptTokens > capacityTokens && oldest.hasNext()) {
+            keptTokens -= oldest.next().getValue().tokens();
+            oldest.remove();
+        }
+    }
+
+    private record Kept(int tokens, boolean isRead) {}
+}
--- /dev/null
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/log/package-info.java
@@ -0,0 +1,2 @@
+/** Structured logs and metrics of a host. */
+package org.mangowall.edge.log;
--- /dev/null
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/model/package-info.java
@@ -0,0 +1,2 @@
+/** Immutable values that the decisions and the data path share. */
+package org.mangowall.edge.model;
--- /dev/null
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerCodec.java
@@ -0,0 +1,212 @@
+package org.mangowall.edge.peer;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.mangowall.edge.decision.LoadEvent;
+import org.mangowall.edge.model.HostRecord;
+import org.mangowall.edge.model.PromptPart;
+import org.mangowall.edge.wire.ObjectKind;
+import org.mangowall.edge.wire.StoredObject;
+import org.mangowall.kernel.failure.FailureCode;
+import org.mangowall.kernel.failure.MangowallException;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+/** Encodes messages between hosts as MessagePack. */
+final class PeerCodec {
+
+    private static final int HELLO = 1;
+    private static final int PULSE = 2;
+    private static final int OBJECTS = 3;
+    private static final int HEARD = 4;
+    private static final int SENT = 1;
+    private static final int BEGAN = 2;
+    private static final int ENDED = 3;
+    private static final int UNREACHABLE = 4;
+
+    private PeerCodec() {}
+
+    static byte[] encode(PeerNews news) {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            switch (news) {
+                case PeerNews.Hello hello -> {
+                    packer.packInt(HELLO);
+                    packHost(packer, hello.sender());
+                    packer.packArrayHeader(hello.known().size());
+                    for (HostRecord host : hello.known()) {
+                        packHost(packer, host);
+                    }
+                }
+                case PeerNews.Pulse pulse -> packPulse(packer, pulse);
+                case PeerNews.Objects objects -> packObjects(packer, objects);
+                case PeerNews.Heard heard -> packer.packInt(HEARD);
+            }
+            return packer.toByteArray();
+        } catch (IOException failure) {
+            throw new MangowallException(FailureCode.INTERNAL, "a message between hosts can't be written", failure);
+        }
+    }
+
+    private static void packHost(MessageBufferPacker packer, HostRecord host) throws IOException {
+        packer.packString(host.name());
+        packer.packLong(host.incarnation());
+        packer.packString(host.peerAddress());
+        packer.packString(host.callerAddress());
+        packer.packString(host.zone());
+    }
+
+    private static void packPulse(MessageBufferPacker packer, PeerNews.Pulse pulse) throws IOException {
+        packer.packInt(PULSE);
+        packer.packBoolean(pulse.isReady());
+        for (ObjectKind kind : ObjectKind.values()) {
+            packer.packLong(pulse.completeTo().getOrDefault(kind, 0L));
+        }
+        packer.packArrayHeader(pulse.events().size());
+        for (LoadEvent event : pulse.events()) {
+            packEvent(packer, event);
+        }
+    }
+
+    private static void packEvent(MessageBufferPacker packer, LoadEvent event) throws IOException {
+        switch (event) {
+            case LoadEvent.Sent sent -> {
+                packer.packInt(SENT);
+                packer.packLong(sent.number());
+                packer.packString(sent.runner());
+                packer.packString(sent.workspace().orElse(""));
+                packer.packArrayHeader(sent.parts().size());
+                for (PromptPart part : sent.parts()) {
+                    packer.packLong(part.identifier());
+                    packer.packInt(part.tokens());
+                }
+                packer.packInt(sent.unreadTokens());
+                packer.packInt(sent.memoryTokens());
+                packer.packLong(sent.costTokens());
+            }
+            case LoadEvent.Began began -> packer.packInt(BEGAN).packLong(began.number());
+            case LoadEvent.Ended ended -> packer.packInt(ENDED).packLong(ended.number());
+            case LoadEvent.Unreachable unreachable ->
+                packer.packInt(UNREACHABLE).packString(unreachable.runner());
+        }
+    }
+
+    private static void packObjects(MessageBufferPacker packer, PeerNews.Objects objects) throws IOException {
+        packer.packInt(OBJECTS);
+        packer.packString(objects.kind().name());
+        packer.packLong(objects.asOf());
+        packer.packArrayHeader(objects.objects().size());
+        for (StoredObject object : objects.objects()) {
+            packer.packString(object.name());
+            packer.packLong(object.revision());
+            packer.packBoolean(object.isDeleted());
+            packer.packBinaryHeader(object.content().length);
+            packer.writePayload(object.content());
+        }
+    }
+
+    /**
+     * Decodes a message.
+     *
+     * @throws MangowallException with {@code FRAME_INVALID} when it can't be read
+     */
+    static PeerNews decode(byte[] bytes) {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+            int type = unpacker.unpackInt();
+            return switch (type) {
+                case HELLO -> new PeerNews.Hello(unpackHost(unpacker), unpackHosts(unpacker));
+                case PULSE -> unpackPulse(unpacker);
+                case OBJECTS -> unpackObjects(unpacker);
+                case HEARD -> new PeerNews.Heard();
+                default ->
+                    throw new MangowallException(
+                            FailureCode.FRAME_INVALID, "no message between hosts has the type " + type);
+            };
+        } catch (IOException | MessagePackException | IllegalArgumentException failure) {
+            throw new MangowallException(FailureCode.FRAME_INVALID, "a message between hosts can't be read", failure);
+        }
+    }
+
+    private static HostRecord unpackHost(MessageUnpacker unpacker) throws IOException {
+        return new HostRecord(
+                unpacker.unpackString(),
+                unpacker.unpackLong(),
+                unpacker.unpackString(),
+                unpacker.unpackString(),
+                unpacker.unpackString());
+    }
+
+    private static List<HostRecord> unpackHosts(MessageUnpacker unpacker) throws IOException {
+        int count = unpacker.unpackArrayHeader();
+        List<HostRecord> hosts = new ArrayList<>();
+        for (int index = 0; index < count; index++) {
+            hosts.add(unpackHost(unpacker));
+        }
+        return hosts;
+    }
+
+    private static PeerNews unpackPulse(MessageUnpacker unpacker) throws IOException {
+        boolean isReady = unpacker.unpackBoolean();
+        Map<ObjectKind, Long> completeTo = new EnumMap<>(ObjectKind.class);
+        for (ObjectKind kind : ObjectKind.values()) {
+            completeTo.put(kind, unpacker.unpackLong());
+        }
+        int count = unpacker.unpackArrayHeader();
+        List<LoadEvent> events = new ArrayList<>();
+        for (int index = 0; index < count; index++) {
+            events.add(unpackEvent(unpacker));
+        }
+        return new PeerNews.Pulse(isReady, completeTo, events);
+    }
+
+    private static LoadEvent unpackEvent(MessageUnpacker unpacker) throws IOException {
+        int type = unpacker.unpackInt();
+        return switch (type) {
+            case SENT -> unpackSent(unpacker);
+            case BEGAN -> new LoadEvent.Began(unpacker.unpackLong());
+            case ENDED -> new LoadEvent.Ended(unpacker.unpackLong());
+            case UNREACHABLE -> new LoadEvent.Unreachable(unpacker.unpackString());
+            default -> throw new MangowallException(FailureCode.FRAME_INVALID, "no event has the type " + type);
+        };
+    }
+
+    private static LoadEvent unpackSent(MessageUnpacker unpacker) throws IOException {
+        long number = unpacker.unpackLong();
+        String runner = unpacker.unpackString();
+        String workspace = unpacker.unpackString();
+        int count = unpacker.unpackArrayHeader();
+        List<PromptPart> parts = new ArrayList<>();
+        for (int index = 0; index < count; index++) {
+            parts.add(new PromptPart(unpacker.unpackLong(), unpacker.unpackInt()));
+        }
+        return new LoadEvent.Sent(
+                number,
+                runner,
+                workspace.isEmpty() ? Optional.empty() : Optional.of(workspace),
+                parts,
+                unpacker.unpackInt(),
+                unpacker.unpackInt(),
+                unpacker.unpackLong());
+    }
+
+    private static PeerNews unpackObjects(MessageUnpacker unpacker) throws IOException {
+        ObjectKind kind = ObjectKind.valueOf(unpacker.unpackString());
+        long asOf = unpacker.unpackLong();
+        int count = unpacker.unpackArrayHeader();
+        List<StoredObject> objects = new ArrayList<>();
+        for (int index = 0; index < count; index++) {
+            String name = unpacker.unpackString();
+            long revision = unpacker.unpackLong();
+            boolean isDeleted = unpacker.unpackBoolean();
+            byte[] content = unpacker.readPayload(unpacker.unpackBinaryHeader());
+            objects.add(new StoredObject(kind, name, revision, content, isDeleted));
+        }
+        return new PeerNews.Objects(kind, asOf, objects);
+    }
+}
--- /dev/null
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerState.java
@@ -0,0 +1,111 @@
+package org.mangowall.edge.peer;
+
+import org.mangowall.edge.model.HostRecord;
+
+/** What this host knows of another: the connection over which it hears it, and the one over which it speaks. */
+final class PeerState {
+
+    private HostRecord host;
+    private PeerChannel inbound;
+    private PeerChannel outbound;
+    private boolean isReady;
+    private boolean isDialing;
+    private boolean isCounted;
+    private long heardAt;
+    private long answeredAt;
+    private long nextDialAt;
+    private long dialPauseNanos;
+    private long toldObjectsAt;
+
+    PeerState(HostRecord host) {
+        this.host = host;
+    }
+
+    HostRecord host() {
+        return host;
+    }
+
+    void setHost(HostRecord other) {
+        host = other;
+    }
+
+    PeerChannel inbound() {
+        return inbound;
+    }
+
+    void setInbound(PeerChannel channel, long now) {
+        inbound = channel;
+        heardAt = now;
+    }
+
+    void noteHeard(long now) {
+        heardAt = now;
+    }
+
+    long heardAt() {
+        return heardAt;
+    }
+
+    PeerChannel outbound() {
+        return outbound;
+    }
+
+    void setOutbound(PeerChannel channel, long now) {
+        outbound = channel;
+        answeredAt = now;
+    }
+
+    void noteAnswered(long now) {
+        answeredAt = now;
+    }
+
+    long answeredAt() {
+        return answeredAt;
+    }
+
+    boolean isReady() {
+        return isReady;
+    }
+
+    void setReady(boolean ready) {
+        isReady = ready;
+    }
+
+    boolean isDialing() {
+        return isDialing;
+    }
+
+    void setDialing(boolean dialing) {
+        isDialing = dialing;
+    }
+
+    /** Whether its work is part of the fleet's load. */
+    boolean isCounted() {
+        return isCounted;
+    }
+
+    void setCounted(boolean counted) {
+        isCounted = counted;
+    }
+
+    long nextDialAt() {
+        return nextDialAt;
+    }
+
+    void setNextDial(long at, long pauseNanos) {
+        nextDialAt = at;
+        dialPauseNanos = pauseNanos;
+    }
+
+    long dialPauseNanos() {
+        return dialPauseNanos;
+    }
+
+    long toldObjectsAt() {
+        return toldObjectsAt;
+    }
+
+    void noteToldObjects(long now) {
+        toldObjectsAt = now;
+    }
+}
--- /dev/null
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/EdgeSettingsReader.java
@@ -0,0 +1,69 @@
+package org.mangowall.edge.program;
+
+import java.nio.file.Path;
+import java.time.Duration;
+
+import org.mangowall.edge.traffic.EdgeBounds;
+import org.mangowall.inventory.checked.CheckedTable;
+
+/** Reads {@link EdgeSettings} from TOML; {@code docs/settings-edge.md} lists every key. */
+final class EdgeSettingsReader {
+
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final double MILLIS_PER_SECOND = 1e3;
+    private static final double LONGEST_SECONDS = 3_600;
+    private static final double SHORTEST_SECONDS = 0.1;
+    private static final double DEFAULT_RETRIES_PER_REQUEST = 0.2;
+    private static final double DEFAULT_RETRY_SLACK = 50;
+    private static final double DEFAULT_RETRY_WINDOW_SECONDS = 10;
+    private static final double DEFAULT_SHARE_WINDOW_SECONDS = 4;
+    private static final double DEFAULT_ANSWER_LIFE_SECONDS = 2;
+    private static final double DEFAULT_GRACE_SECONDS = 8;
+
+    private EdgeSettingsReader() {}
+
+    /**
+     * Reads a settings file.
+     *
+     * @throws org.mangowall.inventory.checked.SettingsException with all faults of the file
+     */
+    static EdgeSettings read(Path file) {
+        return read(CheckedTable.readToml(file));
+    }
+
+    static EdgeSettings read(CheckedTable root) {
+        CheckedTable host = root.table("host");
+        CheckedTable peer = root.table("peer");
+        CheckedTable platform = root.table("platform");
+        CheckedTable bounds = root.table("bounds");
+        EdgeSettings settings = new EdgeSettings(
+                host.text("name"),
+                host.text("zone"),
+                root.table("caller").address("address"),
+                root.table("directory").address("address"),
+                root.table("readiness").address("address"),
+                peer.address("address"),
+                root.table("metrics").address("address"),
+                peer.addresses("seeds"),
+                platform.text("adapter"),
+                platform.address("store"),
+                new EdgeBounds(
+                        bounds.number("retries_per_request", 0, 10, DEFAULT_RETRIES_PER_REQUEST),
+                        bounds.number("retry_slack", 0, 1e6, DEFAULT_RETRY_SLACK),
+                        nanos(bounds, "retry_window_seconds", DEFAULT_RETRY_WINDOW_SECONDS),
+                        nanos(bounds, "share_window_seconds", DEFAULT_SHARE_WINDOW_SECONDS)),
+                duration(bounds, "answer_life_seconds", DEFAULT_ANSWER_LIFE_SECONDS),
+                duration(bounds, "grace_seconds", DEFAULT_GRACE_SECONDS));
+        root.finish();
+        return settings;
+    }
+
+    private static long nanos(CheckedTable table, String key, double defaultSeconds) {
+        return (long) (NANOS_PER_SECOND * table.number(key, SHORTEST_SECONDS, LONGEST_SECONDS, defaultSeconds));
+    }
+
+    private static Duration duration(CheckedTable table, String key, double defaultSeconds) {
+        double seconds = table.number(key, SHORTEST_SECONDS, LONGEST_SECONDS, defaultSeconds);
+        return Duration.ofMillis((long) (MILLIS_PER_SECOND * seconds));
+    }
+}
--- /dev/null
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/HostRegistry.java
@@ -0,0 +1,76 @@
+package org.mangowall.edge.program;
+
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.netty.channel.EventLoop;
+import org.mangowall.edge.model.HostRecord;
+import org.mangowall.edge.wire.ObjectDialect;
+import org.mangowall.edge.wire.ObjectKind;
+import org.mangowall.edge.wire.StoreCalls;
+import org.mangowall.edge.wire.StoreCalls.StoreOutcome;
+import org.mangowall.edge.wire.StoredObject;
+
+/**
+ * Finds the other hosts through the platform's store.
+ *
+ * <p>Writes this host's address once for each start, and reads the list now and then: hosts that know each other tell
+ * the rest by themselves.
+ */
+final class HostRegistry {
+
+    private static final long FIRST_READ_MILLIS = 300;
+    private static final long READ_MILLIS = 6_000;
+    private static final long RETRY_MILLIS = 700;
+
+    private final HostRecord self;
+    private final StoreCalls calls;
+    private final ObjectDialect dialect;
+    private final EventLoop loop;
+    private final Consumer<HostRecord> listener;
+
+    HostRegistry(
+            HostRecord self, StoreCalls calls, ObjectDialect dialect, EventLoop loop, Consumer<HostRecord> listener) {
+        this.self = self;
+        this.calls = calls;
+        this.dialect = dialect;
+        this.loop = loop;
+        this.listener = listener;
+    }
+
+    void start() {
+        write();
+        loop.schedule(() -> read(""), FIRST_READ_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void write() {
+        calls.put(ObjectKind.HOST, self.name(), dialect.hostContent(self), outcome -> {
+            if (!(outcome instanceof StoreOutcome.Written)) {
+                loop.schedule(this::write, spread(RETRY_MILLIS), TimeUnit.MILLISECONDS);
+            }
+        });
+    }
+
+    private void read(String afterName) {
+        calls.list(ObjectKind.HOST, afterName, true, outcome -> {
+            if (!(outcome instanceof StoreOutcome.Page page)) {
+                loop.schedule(() -> read(""), spread(RETRY_MILLIS), TimeUnit.MILLISECONDS);
+                return;
+            }
+            for (StoredObject object : page.objects()) {
+                dialect.host(object).ifPresent(listener);
+            }
+            if (page.nextAfter().isEmpty()) {
+                loop.schedule(() -> read(""), spread(READ_MILLIS), TimeUnit.MILLISECONDS);
+            } else {
+                read(page.nextAfter());
+            }
+        });
+    }
+
+    /** Keeps hosts that started together from calling together. */
+    private static long spread(long millis) {
+        return millis + ThreadLocalRandom.current().nextLong(millis);
+    }
+}
--- /dev/null
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/package-info.java
@@ -0,0 +1,2 @@
+/** The binary {@code mangowall-edge}: settings, assembly, start and end of a host. */
+package org.mangowall.edge.program;
--- /dev/null
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Refusal.java
@@ -0,0 +1,46 @@
+package org.mangowall.edge.traffic;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import org.mangowall.kernel.failure.FailureCode;
+
+/** Makes the answers that this host gives by itself (RFC 9457). */
+final class Refusal {
+
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    private Refusal() {}
+
+    static FullHttpResponse answer(FailureCode code, double retryAfterMillis, boolean closes) {
+        String text = String.format(
+                Locale.ROOT,
+                "{\"type\":\"about:blank\",\"status\":%d,\"code\":\"%s\",\"outcome\":\"%s\"}",
+                code.httpStatus(),
+                code.code(),
+                code.outcome().name().toLowerCase(Locale.ROOT).replace('_', '-'));
+        ByteBuf body = Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.US_ASCII));
+        FullHttpResponse answer =
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(code.httpStatus()), body);
+        answer.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/problem+json");
+        answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+        if (retryAfterMillis > 0) {
+            answer.headers()
+                    .set(
+                            HttpHeaderNames.RETRY_AFTER,
+                            String.format(Locale.ROOT, "%.3f", retryAfterMillis / MILLIS_PER_SECOND));
+        }
+        if (closes) {
+            answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+        return answer;
+    }
+}
--- /dev/null
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/wire/MessageDialect.java
@@ -0,0 +1,23 @@
+package org.mangowall.edge.wire;
+
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import org.mangowall.edge.model.CallerRequest;
+import org.mangowall.edge.model.RunnerAnswer;
+
+/** The names and shapes of the HTTP messages between callers, hosts and runners. */
+public interface MessageDialect {
+
+    /**
+     * Decodes the head of a caller's request.
+     *
+     * @throws org.mangowall.kernel.failure.MangowallException with {@code REQUEST_MALFORMED} when it can't be read
+     */
+    CallerRequest readRequest(HttpRequest head);
+
+    /** Makes the head that a runner gets; the head of the caller's request stays as it is. */
+    HttpRequest requestForRunner(HttpRequest head, Dispatch dispatch);
+
+    /** Decodes the head of a runner's answer. */
+    RunnerAnswer readAnswer(HttpResponse head);
+}
--- a/mangowall-kernel/src/main/java/org/mangowall/kernel/failure/FailureCode.java
+++ b/mangowall-kernel/src/main/java/org/mangowall/kernel/failure/FailureCode.java
@@ -31,6 +31,12 @@
     BODY_TOO_LARGE("body-too-large", 413, NOT_RUN),
     /** The headers are larger than the router takes. */
     HEADERS_TOO_LARGE("headers-too-large", 431, NOT_RUN),
+    /** The request took too long to arrive. */
+    REQUEST_READ_TIMEOUT("request-read-timeout", 408, NOT_RUN),
+    /** The workspace takes more than its share while all runners are busy. */
+    WORKSPACE_OVER_SHARE("workspace-over-share", 429, NOT_RUN),
+    /** No runner is expected to answer in time. */
+    RUNNERS_BUSY("runners-busy", 503, NOT_RUN),
     /** The workspace has as many waiting requests as it may have. */
     WORKSPACE_QUEUE_FULL("workspace-queue-full", 429, NOT_RUN),
     /** A ring or queue of the router is full. */
