Turn away workspaces far over their share first, and let long prompts in

Prompts whose own reading takes longer than the goal could never pass. Ruled out: stale news of the other hosts (40 ms old); the level of the shares itself (both workspaces were above it). Change: above 1.5 times its share a workspace gets less and less, from 2.5 times on only idle places; long prompts get their own reading time and a quarter; runners that get no more work can still be copied from; a starting host asks two others what the runners keep; watches of the store wait 8 s, with keep-alive probes on their connections.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/Admission.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/Admission.java
@@ -10,10 +10,14 @@
     private static final double GOAL_SHARE = 0.85;
     /** What workspaces that take much more than their share may use of the goal. */
     private static final double OVER_SHARE_GOAL_SHARE = 0.3;
-    /** From this multiple of its share on, a workspace gets the least. */
-    private static final double FAR_OVER_SHARE = 1.5;
+    /** At this multiple of its share a workspace may use only that. */
+    private static final double OVER_SHARE = 1.5;
+    /** From this multiple of its share on, a workspace gets only what nobody waits for. */
+    private static final double FAR_OVER_SHARE = 2.5;
+    /** A prompt that takes longer to read than the goal gets this much more than its own time. */
+    private static final double LONG_PROMPT_FACTOR = 1.25;
     /** What requests with much reading for little answer may use, against others. */
-    private static final double LEAST_YIELD_FACTOR = 0.6;
+    private static final double LEAST_YIELD_FACTOR = 0.75;
     /** Output counts so much more than input in what an answer is worth to callers. */
     private static final double OUTPUT_WORTH = 10;
     /** The worth of a token of engine time from which on a request counts as worth its time. */
@@ -40,9 +44,20 @@
         double goal = request.route().latencyGoal().toMillis();
         double left = Math.max(goal - request.elapsedMillis(), goal / 2);
         double load = shareLoad(request, now);
-        double over = Math.clamp((load - 1) / (FAR_OVER_SHARE - 1), 0, 1);
-        double share = GOAL_SHARE - (GOAL_SHARE - OVER_SHARE_GOAL_SHARE) * over;
-        return Math.min(left * share * yieldFactor(request.prompt().get(), unreadTokens), request.leftMillis());
+        double allowed = left * yieldFactor(request.prompt().get(), unreadTokens);
+        if (load <= 1) {
+            double alone = LONG_PROMPT_FACTOR * fleet.readMillis(request.service(), unreadTokens);
+            return Math.min(Math.max(allowed * GOAL_SHARE, alone), request.leftMillis());
+        }
+        return Math.min(allowed * goalShareAbove(load), request.leftMillis());
+    }
+
+    private static double goalShareAbove(double load) {
+        if (load >= OVER_SHARE) {
+            double rest = Math.clamp((FAR_OVER_SHARE - load) / (FAR_OVER_SHARE - OVER_SHARE), 0, 1);
+            return OVER_SHARE_GOAL_SHARE * rest;
+        }
+        return GOAL_SHARE - (GOAL_SHARE - OVER_SHARE_GOAL_SHARE) * (load - 1) / (OVER_SHARE - 1);
     }
 
     private static double yieldFactor(PromptDescription prompt, int unreadTokens) {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 
 import org.mangowall.edge.model.EngineTraits;
+import org.mangowall.edge.model.PromptPart;
 import org.mangowall.edge.model.RouteTable;
 import org.mangowall.edge.model.RunnerEntry;
 
@@ -29,6 +30,7 @@
     private final Map<String, RunnerState> runners = new HashMap<>();
     private final Map<String, ServiceState> services = new HashMap<>();
     private final Map<String, Map<Long, Work>> workByHost = new HashMap<>();
+    private final Map<String, LoadEvent.Kept> keptBeforeListed = new HashMap<>();
     private final Set<String> closedZones = new HashSet<>();
     private final WorkspaceShares shares;
     private Collection<String> hosts;
@@ -90,6 +92,10 @@
         runners.put(entry.identifier(), added);
         service.runners().add(added);
         noteCold(added, entry, now);
+        LoadEvent.Kept kept = keptBeforeListed.remove(entry.identifier());
+        if (kept != null) {
+            noteKept(kept);
+        }
     }
 
     private static void noteCold(RunnerState runner, RunnerEntry entry, long now) {
@@ -106,6 +112,11 @@
         }
     }
 
+    /** Whether other runners may copy from a runner: also from one that gets no more work. */
+    boolean mayBeCopied(RunnerState runner, long now) {
+        return !runner.health().isPaused(now);
+    }
+
     /** The entry of a runner. */
     public Optional<RunnerEntry> runner(String identifier) {
         return Optional.ofNullable(runners.get(identifier)).map(RunnerState::entry);
@@ -194,6 +205,11 @@
                 }
             }
             case LoadEvent.Ended ended -> end(works.remove(ended.number()));
+            case LoadEvent.Kept kept ->
+                runnerState(kept.runner()).ifPresent(runner -> {
+                    runner.cache().reading(kept.parts());
+                    runner.cache().read(kept.parts());
+                });
             case LoadEvent.Unreachable unreachable -> {
                 RunnerState runner = runners.get(unreachable.runner());
                 if (runner != null && !host.equals(self)) {
@@ -203,6 +219,16 @@
         }
     }
 
+    private void noteKept(LoadEvent.Kept kept) {
+        RunnerState runner = runners.get(kept.runner());
+        if (runner == null) {
+            keptBeforeListed.put(kept.runner(), kept);
+            return;
+        }
+        runner.cache().reading(kept.parts());
+        runner.cache().read(kept.parts());
+    }
+
     private double coldRate(RunnerState runner) {
         return service(runner.entry().service()).coldRequestsPerSecond();
     }
@@ -223,6 +249,7 @@
 
     /** Forgets work of other hosts whose end was never told. */
     public void forgetOldWork(long now) {
+        keptBeforeListed.clear();
         for (Map.Entry<String, Map<Long, Work>> entry : workByHost.entrySet()) {
             if (entry.getKey().equals(self)) {
                 continue;
@@ -249,6 +276,23 @@
         return events;
     }
 
+    /** How long an idle runner of a service takes to read so many tokens and give the first one. */
+    double readMillis(String serviceName, double tokens) {
+        return service(serviceName).firstToken().predictMillis(tokens);
+    }
+
+    /** The parts that runners are believed to keep, for a host that has just started. */
+    public List<LoadEvent.Kept> keptParts() {
+        List<LoadEvent.Kept> kept = new ArrayList<>();
+        runners.forEach((identifier, runner) -> {
+            List<PromptPart> parts = runner.cache().readParts();
+            if (!parts.isEmpty()) {
+                kept.add(new LoadEvent.Kept(identifier, parts));
+            }
+        });
+        return kept;
+    }
+
     /** How a workspace stands against its share; over 1 when it takes more. */
     double shareLoad(String workspace, long windowNanos, long now) {
         double capacity = tokensPerSecond <= 0 ? Double.POSITIVE_INFINITY : tokensPerSecond * windowNanos / 1e9;
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/LoadEvent.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/LoadEvent.java
@@ -55,4 +55,18 @@
      * @param runner the identifier of the runner
      */
     record Unreachable(String runner) implements LoadEvent {}
+
+    /**
+     * A runner is believed to keep parts of prompts.
+     *
+     * @param runner the identifier of the runner
+     * @param parts the parts, the least recently used one first
+     */
+    record Kept(String runner, List<PromptPart> parts) implements LoadEvent {
+
+        /** Copies the list. */
+        public Kept {
+            parts = List.copyOf(parts);
+        }
+    }
 }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/PartCache.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/PartCache.java
@@ -1,5 +1,6 @@
 package org.mangowall.edge.decision;
 
+import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -68,6 +69,17 @@
         return tokens;
     }
 
+    /** The parts that have been read, the least recently used one first. */
+    List<PromptPart> readParts() {
+        List<PromptPart> read = new ArrayList<>();
+        parts.forEach((identifier, kept) -> {
+            if (kept.isRead()) {
+                read.add(new PromptPart(identifier, kept.tokens()));
+            }
+        });
+        return read;
+    }
+
     private void evict() {
         Iterator<Map.Entry<Long, Kept>> oldest = parts.entrySet().iterator();
         while (keptTokens > capacityTokens && oldest.hasNext()) {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/Placement.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/Placement.java
@@ -51,7 +51,7 @@
     /** Decides on a request. */
     public PlacementDecision decide(PlacementRequest request, long now) {
         ServiceState service = fleet.service(request.service());
-        Optional<RunnerState> holder = request.prompt().flatMap(prompt -> bestHolder(service, prompt));
+        Optional<RunnerState> holder = request.prompt().flatMap(prompt -> bestHolder(service, prompt, now));
         Candidate best = null;
         Candidate soonest = null;
         for (RunnerState runner : service.runners()) {
@@ -94,12 +94,12 @@
     /** When a service without a usable runner is looked at again: about the time of a restart. */
     private static final double NO_RUNNER_RETRY_MILLIS = 500;
 
-    private Optional<RunnerState> bestHolder(ServiceState service, PromptDescription prompt) {
+    private Optional<RunnerState> bestHolder(ServiceState service, PromptDescription prompt, long now) {
         RunnerState best = null;
         int most = 0;
         for (RunnerState runner : service.runners()) {
             int kept = runner.cache().readTokens(prompt.parts());
-            if (kept > most && fleet.isOpen(runner.entry())) {
+            if (kept > most && fleet.mayBeCopied(runner, now)) {
                 most = kept;
                 best = runner;
             }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/mirror/StoreFollower.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/mirror/StoreFollower.java
@@ -16,8 +16,8 @@
 /** Follows one kind of object: lists it, then watches for changes; lists again when the history is gone. */
 public final class StoreFollower {
 
-    /** How long a watch waits: short enough to notice a silent connection within the bound of a configuration. */
-    static final Duration WATCH_WAIT = Duration.ofMillis(2_000);
+    /** How long a watch waits; keep-alive probes find a silent connection sooner. */
+    static final Duration WATCH_WAIT = Duration.ofMillis(8_000);
 
     private static final long FIRST_PAUSE_MILLIS = 60;
     private static final long LONGEST_PAUSE_MILLIS = 1_000;
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerCodec.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerCodec.java
@@ -30,6 +30,7 @@
     private static final int BEGAN = 2;
     private static final int ENDED = 3;
     private static final int UNREACHABLE = 4;
+    private static final int KEPT = 5;
 
     private PeerCodec() {}
 
@@ -39,6 +40,7 @@
                 case PeerNews.Hello hello -> {
                     packer.packInt(HELLO);
                     packHost(packer, hello.sender());
+                    packer.packBoolean(hello.wantsParts());
                     packer.packArrayHeader(hello.known().size());
                     for (HostRecord host : hello.known()) {
                         packHost(packer, host);
@@ -81,11 +83,7 @@
                 packer.packLong(sent.number());
                 packer.packString(sent.runner());
                 packer.packString(sent.workspace().orElse(""));
-                packer.packArrayHeader(sent.parts().size());
-                for (PromptPart part : sent.parts()) {
-                    packer.packLong(part.identifier());
-                    packer.packInt(part.tokens());
-                }
+                packParts(packer, sent.parts());
                 packer.packInt(sent.unreadTokens());
                 packer.packInt(sent.memoryTokens());
                 packer.packLong(sent.costTokens());
@@ -94,6 +92,18 @@
             case LoadEvent.Ended ended -> packer.packInt(ENDED).packLong(ended.number());
             case LoadEvent.Unreachable unreachable ->
                 packer.packInt(UNREACHABLE).packString(unreachable.runner());
+            case LoadEvent.Kept kept -> {
+                packer.packInt(KEPT).packString(kept.runner());
+                packParts(packer, kept.parts());
+            }
+        }
+    }
+
+    private static void packParts(MessageBufferPacker packer, List<PromptPart> parts) throws IOException {
+        packer.packArrayHeader(parts.size());
+        for (PromptPart part : parts) {
+            packer.packLong(part.identifier());
+            packer.packInt(part.tokens());
         }
     }
 
@@ -120,7 +130,7 @@
         try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
             int type = unpacker.unpackInt();
             return switch (type) {
-                case HELLO -> new PeerNews.Hello(unpackHost(unpacker), unpackHosts(unpacker));
+                case HELLO -> new PeerNews.Hello(unpackHost(unpacker), unpacker.unpackBoolean(), unpackHosts(unpacker));
                 case PULSE -> unpackPulse(unpacker);
                 case OBJECTS -> unpackObjects(unpacker);
                 case HEARD -> new PeerNews.Heard();
@@ -172,6 +182,7 @@
             case BEGAN -> new LoadEvent.Began(unpacker.unpackLong());
             case ENDED -> new LoadEvent.Ended(unpacker.unpackLong());
             case UNREACHABLE -> new LoadEvent.Unreachable(unpacker.unpackString());
+            case KEPT -> new LoadEvent.Kept(unpacker.unpackString(), unpackParts(unpacker));
             default -> throw new MangowallException(FailureCode.FRAME_INVALID, "no event has the type " + type);
         };
     }
@@ -180,21 +191,25 @@
         long number = unpacker.unpackLong();
         String runner = unpacker.unpackString();
         String workspace = unpacker.unpackString();
-        int count = unpacker.unpackArrayHeader();
-        List<PromptPart> parts = new ArrayList<>();
-        for (int index = 0; index < count; index++) {
-            parts.add(new PromptPart(unpacker.unpackLong(), unpacker.unpackInt()));
-        }
         return new LoadEvent.Sent(
                 number,
                 runner,
                 workspace.isEmpty() ? Optional.empty() : Optional.of(workspace),
-                parts,
+                unpackParts(unpacker),
                 unpacker.unpackInt(),
                 unpacker.unpackInt(),
                 unpacker.unpackLong());
     }
 
+    private static List<PromptPart> unpackParts(MessageUnpacker unpacker) throws IOException {
+        int count = unpacker.unpackArrayHeader();
+        List<PromptPart> parts = new ArrayList<>();
+        for (int index = 0; index < count; index++) {
+            parts.add(new PromptPart(unpacker.unpackLong(), unpacker.unpackInt()));
+        }
+        return parts;
+    }
+
     private static PeerNews unpackObjects(MessageUnpacker unpacker) throws IOException {
         ObjectKind kind = ObjectKind.valueOf(unpacker.unpackString());
         long asOf = unpacker.unpackLong();
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
@@ -55,6 +55,9 @@
     /** Between two tellings of stored objects to the same host: the time that one takes to arrive. */
     private static final long OBJECTS_PAUSE_NANOS = 150_000_000L;
 
+    /** A host that starts asks so many others what the runners keep; one of them may have just started as well. */
+    private static final int PARTS_FROM_HOSTS = 2;
+
     private final HostRecord self;
     private final FleetLoad fleet;
     private final StoreMirror mirror;
@@ -67,6 +70,7 @@
     private List<LoadEvent> pending = new ArrayList<>();
     private long toldAt;
     private boolean hasUrgentNews;
+    private int partsAsked;
 
     /**
      * Starts alone.
@@ -181,15 +185,15 @@
     }
 
     private void pulse(long now) {
-        Map<ObjectKind, Long> completeTo = new EnumMap<>(ObjectKind.class);
-        for (ObjectKind kind : ObjectKind.values()) {
-            completeTo.put(kind, mirror.completeTo(kind));
-        }
-        byte[] pulse = PeerCodec.encode(new PeerNews.Pulse(isReady.getAsBoolean(), completeTo, pending));
+        byte[] pulse = PeerCodec.encode(statePulse(pending));
         pending = new ArrayList<>();
         for (PeerState peer : peers.values()) {
             if (peer.outbound() != null && peer.outbound().isWritable()) {
                 peer.outbound().send(pulse);
+                if (peer.wantsParts()) {
+                    peer.setWantsParts(false);
+                    peer.outbound().send(statePulse(List.copyOf(fleet.keptParts())));
+                }
             }
             if (peer.inbound() != null && now - peer.heardAt() < HEARTBEAT_NANOS * 2) {
                 peer.inbound().send(new PeerNews.Heard());
@@ -249,12 +253,18 @@
                 .filter(other -> isAlive(other, now))
                 .map(PeerState::host)
                 .toList();
-        outbound.send(new PeerNews.Hello(self, known));
+        boolean wantsParts = partsAsked < PARTS_FROM_HOSTS;
+        partsAsked += wantsParts ? 1 : 0;
+        outbound.send(new PeerNews.Hello(self, wantsParts, known));
+        outbound.send(statePulse(fleet.ownWork()));
+    }
+
+    private PeerNews statePulse(List<LoadEvent> events) {
         Map<ObjectKind, Long> completeTo = new EnumMap<>(ObjectKind.class);
         for (ObjectKind kind : ObjectKind.values()) {
             completeTo.put(kind, mirror.completeTo(kind));
         }
-        outbound.send(new PeerNews.Pulse(isReady.getAsBoolean(), completeTo, fleet.ownWork()));
+        return new PeerNews.Pulse(isReady.getAsBoolean(), completeTo, events);
     }
 
     @Override
@@ -285,6 +295,7 @@
         }
         fleet.dropHost(sender.name());
         peer.setHost(sender);
+        peer.setWantsParts(hello.wantsParts());
         peer.setInbound(from, now);
         peer.setCounted(true);
         peer.setNextDial(now, 0);
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerNews.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerNews.java
@@ -15,9 +15,10 @@
      * The first message of a connection.
      *
      * @param sender who speaks
+     * @param wantsParts whether it has just started and doesn't know what the runners keep
      * @param known the other hosts that it knows
      */
-    record Hello(HostRecord sender, List<HostRecord> known) implements PeerNews {}
+    record Hello(HostRecord sender, boolean wantsParts, List<HostRecord> known) implements PeerNews {}
 
     /**
      * The sender's state, and what happened since its last message.
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerState.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerState.java
@@ -11,6 +11,7 @@
     private boolean isReady;
     private boolean isDialing;
     private boolean isCounted;
+    private boolean wantsParts;
     private long heardAt;
     private long answeredAt;
     private long nextDialAt;
@@ -88,6 +89,15 @@
         isCounted = counted;
     }
 
+    /** Whether it asked what the runners keep, and wasn't told. */
+    boolean wantsParts() {
+        return wantsParts;
+    }
+
+    void setWantsParts(boolean wants) {
+        wantsParts = wants;
+    }
+
     long nextDialAt() {
         return nextDialAt;
     }
--- /dev/null
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the package of the same name. */
+package org.mangowall.edge.peer;
