--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
@@ -39,7 +39,7 @@
 import org.mangowall.kernel.failure.MangowallException;
 
 /** A host: joins the parts, starts and ends them. */
-final class Edge {
+public final class Edge implements AutoCloseable {
 
     private static final int BACKLOG = 1_024;
     private static final int MOST_DIRECTORY_REQUEST_BYTES = 16_384;
@@ -47,6 +47,7 @@
     /** Callers have heard by then that the host is leaving; later requests could outlast the end. */
     private static final long TAKE_AFTER_LEAVE_MILLIS = 2_800;
 
+    private static final long CLOSE_MILLIS = 1_000;
     private static final long END_CHECK_MILLIS = 50;
     /** What is kept back of the grace for the process to end. */
     private static final long END_MARGIN_MILLIS = 700;
@@ -70,7 +71,8 @@
     private CallerConnections callers;
     private long leavingSince;
 
-    Edge(EdgeSettings settings, PlatformAdapter adapter, DecisionLog log) {
+    /** Joins the parts; nothing is bound yet. */
+    public Edge(EdgeSettings settings, PlatformAdapter adapter, DecisionLog log) {
         this.settings = settings;
         this.adapter = adapter;
         this.log = log;
@@ -90,7 +92,7 @@
     }
 
     /** Binds all addresses and begins to work; returns at once. */
-    void start() {
+    public void start() {
         loop.submit(this::startOnLoop).syncUninterruptibly();
         bind(settings.callerAddress(), callers);
         bind(settings.peerAddress(), new ChannelInitializer<>() {
@@ -249,7 +251,7 @@
     }
 
     /** Begins a graceful end. */
-    void leave() {
+    public void leave() {
         loop.execute(() -> {
             if (context.lifecycle().isLeaving()) {
                 return;
@@ -282,8 +284,15 @@
         loop.schedule(this::endWhenDone, END_CHECK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /** Ends at once, whatever is under way. */
+    @Override
+    public void close() {
+        group.shutdownGracefully(0, CLOSE_MILLIS, TimeUnit.MILLISECONDS).syncUninterruptibly();
+        ended.countDown();
+    }
+
     /** Waits until a graceful end is complete. */
-    void awaitEnd() {
+    public void awaitEnd() {
         try {
             ended.await();
         } catch (InterruptedException interruption) {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/EdgeSettings.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/EdgeSettings.java
@@ -23,7 +23,7 @@
  * @param answerLife how long callers may keep the answer of the directory
  * @param grace the time between the signal to end and the end
  */
-record EdgeSettings(
+public record EdgeSettings(
         String name,
         String zone,
         HostAndPort callerAddress,
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/EdgeSettingsReader.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/EdgeSettingsReader.java
@@ -7,7 +7,7 @@
 import org.mangowall.inventory.checked.CheckedTable;
 
 /** Reads {@link EdgeSettings} from TOML; {@code docs/settings-edge.md} lists every key. */
-final class EdgeSettingsReader {
+public final class EdgeSettingsReader {
 
     private static final double NANOS_PER_SECOND = 1e9;
     private static final double MILLIS_PER_SECOND = 1e3;
@@ -27,11 +27,16 @@
      *
      * @throws org.mangowall.inventory.checked.SettingsException with all faults of the file
      */
-    static EdgeSettings read(Path file) {
+    public static EdgeSettings read(Path file) {
         return read(CheckedTable.readToml(file));
     }
 
-    static EdgeSettings read(CheckedTable root) {
+    /**
+     * Reads parsed settings.
+     *
+     * @throws org.mangowall.inventory.checked.SettingsException with all faults
+     */
+    public static EdgeSettings read(CheckedTable root) {
         CheckedTable host = root.table("host");
         CheckedTable peer = root.table("peer");
         CheckedTable platform = root.table("platform");
