Keep entries of runners only when the store answered no host

Ruled out: late watches (the host heard of the removal at once). Change: whether the store was away is judged by the answers that any host got; hosts hear it from the others' pulses. Watches wait 2.8 to 3.6 s, spread, so that a silent store shows in time.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/mirror/RunnerRoster.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/mirror/RunnerRoster.java
@@ -49,8 +49,9 @@
     /** An entry is gone from the store. */
     public void unlisted(String identifier, long now) {
         long sinceReturn = contact.sinceRegained(now);
-        if (contact.isLost() || sinceReturn < RETURN_NANOS) {
-            long wait = contact.isLost() ? RETURN_NANOS : RETURN_NANOS - sinceReturn;
+        boolean isAway = contact.isAway(now);
+        if (isAway || sinceReturn < RETURN_NANOS) {
+            long wait = isAway ? RETURN_NANOS : RETURN_NANOS - sinceReturn;
             removeAt.put(identifier, now + wait);
             return;
         }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/mirror/StoreContact.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/mirror/StoreContact.java
@@ -1,10 +1,17 @@
 package org.mangowall.edge.mirror;
 
-/** Whether the platform's store answers this host, and since when. */
+/**
+ * Whether the platform's store answers, this host or any other.
+ *
+ * <p>When it answered nobody for a while, entries may have lapsed although their runners live. When it turned away this
+ * host alone, they haven't.
+ */
 public final class StoreContact {
 
-    /** Without any answer for so long, entries may have lapsed although their runners live. */
-    private static final long LOST_AFTER_NANOS = 3_800_000_000L;
+    /** Without an answer to any host for so long, while calls fail, entries may have lapsed. */
+    private static final long AWAY_NANOS = 2_500_000_000L;
+    /** A store that only answers nothing shows later: watches take nearly as long by themselves. */
+    private static final long SILENT_NANOS = 4_000_000_000L;
 
     private long lastAnswerAt;
     private long regainedAt = Long.MIN_VALUE;
@@ -16,22 +23,31 @@
     }
 
     /**
-     * The store answered as it should.
+     * The store answered this host as it should.
      *
      * @return whether it had been lost
      */
     public boolean answered(long now) {
-        boolean wasLost = isLost || now - lastAnswerAt > LOST_AFTER_NANOS;
-        if (wasLost) {
+        answeredAny(now);
+        boolean wasLost = isLost;
+        isLost = false;
+        return wasLost;
+    }
+
+    /** Another host's knowledge of the store grew. */
+    public void answeredOther(long now) {
+        answeredAny(now);
+    }
+
+    private void answeredAny(long now) {
+        if (isAway(now)) {
             regainedAt = now;
         }
-        isLost = false;
         lastAnswerAt = now;
-        return wasLost;
     }
 
     /**
-     * A call failed.
+     * A call of this host failed.
      *
      * @return whether this is the first failure after answers
      */
@@ -41,11 +57,12 @@
         return isNew;
     }
 
-    public boolean isLost() {
-        return isLost;
+    /** Whether the store answers no host. */
+    public boolean isAway(long now) {
+        return now - lastAnswerAt >= (isLost ? AWAY_NANOS : SILENT_NANOS);
     }
 
-    /** How long ago the store came back; very long when it was never lost. */
+    /** How long ago the store came back to the fleet; very long when it was never away. */
     public long sinceRegained(long now) {
         return regainedAt == Long.MIN_VALUE ? Long.MAX_VALUE : now - regainedAt;
     }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/mirror/StoreFollower.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/mirror/StoreFollower.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -16,8 +17,10 @@
 /** Follows one kind of object: lists it, then watches for changes; lists again when the history is gone. */
 public final class StoreFollower {
 
-    /** How long a watch waits; keep-alive probes find a silent connection sooner. */
-    static final Duration WATCH_WAIT = Duration.ofMillis(8_000);
+    /** How long a watch waits at least: a store or connection that is silent must show within seconds. */
+    private static final long LEAST_WAIT_MILLIS = 2_800;
+    /** Spreads the watches of hosts that started together. */
+    private static final long WAIT_SPREAD_MILLIS = 800;
 
     private static final long FIRST_PAUSE_MILLIS = 60;
     private static final long LONGEST_PAUSE_MILLIS = 1_000;
@@ -68,10 +71,14 @@
             listedAsOf = Long.MAX_VALUE;
             calls.list(kind, "", false, this::received);
         } else {
-            calls.watch(kind, mirror.completeTo(kind), WATCH_WAIT, this::received);
+            calls.watch(kind, mirror.completeTo(kind), watchWait(), this::received);
         }
     }
 
+    private static Duration watchWait() {
+        return Duration.ofMillis(LEAST_WAIT_MILLIS + ThreadLocalRandom.current().nextLong(WAIT_SPREAD_MILLIS));
+    }
+
     private void received(StoreOutcome outcome) {
         switch (outcome) {
             case StoreOutcome.Page page -> pageReceived(page);
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
@@ -21,6 +21,7 @@
 import org.mangowall.edge.decision.FleetLoad;
 import org.mangowall.edge.decision.LoadEvent;
 import org.mangowall.edge.log.DecisionLog;
+import org.mangowall.edge.mirror.StoreContact;
 import org.mangowall.edge.mirror.StoreMirror;
 import org.mangowall.edge.model.HostRecord;
 import org.mangowall.edge.traffic.LoadNews;
@@ -61,6 +62,7 @@
     private final HostRecord self;
     private final FleetLoad fleet;
     private final StoreMirror mirror;
+    private final StoreContact contact;
     private final DecisionLog log;
     private final EventLoop loop;
     private final LongSupplier nanos;
@@ -83,6 +85,7 @@
             Collection<String> seedAddresses,
             FleetLoad fleet,
             StoreMirror mirror,
+            StoreContact contact,
             DecisionLog log,
             EventLoop loop,
             LongSupplier nanos,
@@ -90,6 +93,7 @@
         this.self = self;
         this.fleet = fleet;
         this.mirror = mirror;
+        this.contact = contact;
         this.log = log;
         this.loop = loop;
         this.nanos = nanos;
@@ -316,6 +320,9 @@
         peer.noteHeard(now);
         peer.setCounted(true);
         peer.setReady(pulse.isReady());
+        if (peer.noteKnowledge(pulse.completeTo())) {
+            contact.answeredOther(now);
+        }
         pulse.events().forEach(event -> fleet.apply(peer.host().name(), event, now));
         if (now - peer.toldObjectsAt() >= OBJECTS_PAUSE_NANOS) {
             tellMissing(peer, pulse.completeTo(), now);
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerState.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerState.java
@@ -1,6 +1,9 @@
 package org.mangowall.edge.peer;
 
+import java.util.Map;
+
 import org.mangowall.edge.model.HostRecord;
+import org.mangowall.edge.wire.ObjectKind;
 
 /** What this host knows of another: the connection over which it hears it, and the one over which it speaks. */
 final class PeerState {
@@ -17,6 +20,7 @@
     private long nextDialAt;
     private long dialPauseNanos;
     private long toldObjectsAt;
+    private long knowledge;
 
     PeerState(HostRecord host) {
         this.host = host;
@@ -111,6 +115,14 @@
         return dialPauseNanos;
     }
 
+    /** Takes up to which revisions it knows the store; tells whether that is more than before. */
+    boolean noteKnowledge(Map<ObjectKind, Long> completeTo) {
+        long sum = completeTo.values().stream().mapToLong(Long::longValue).sum();
+        boolean isMore = knowledge != 0 && sum > knowledge;
+        knowledge = sum;
+        return isMore;
+    }
+
     long toldObjectsAt() {
         return toldObjectsAt;
     }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
@@ -115,7 +115,7 @@
     private void startOnLoop() {
         List<String> seeds =
                 settings.peerSeeds().stream().map(HostAndPort::toString).toList();
-        mesh = new PeerMesh(self, seeds, fleet, mirror, log, loop, System::nanoTime, this::isReady);
+        mesh = new PeerMesh(self, seeds, fleet, mirror, contact, log, loop, System::nanoTime, this::isReady);
         context = new EdgeContext(
                 adapter.messages(),
                 fleet,
@@ -203,6 +203,7 @@
             case RUNNER -> runnerChanged(object, now);
             case CLOSED_ZONE -> zoneChanged(object, now);
             case HOST -> adapter.objects().host(object).ifPresent(mesh::found);
+            default -> throw new MangowallException(FailureCode.INTERNAL, "nobody follows " + object.kind());
         }
     }
 
--- /dev/null
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/log/DecisionLogTest.java
@@ -0,0 +1,53 @@
+package org.mangowall.edge.log;
+
+import java.io.ByteArrayOutputStream;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.util.concurrent.CountDownLatch;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.mangowall.kernel.time.PausedClock;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+@Timeout(60)
+class DecisionLogTest {
+
+    private static final PausedClock CLOCK = new PausedClock(Instant.ofEpochMilli(1_000));
+
+    @Test
+    void eachEventIsALineOfJson() {
+        ByteArrayOutputStream output = new ByteArrayOutputStream();
+        try (DecisionLog log = new DecisionLog(output, CLOCK, "h")) {
+            log.write("placed", line -> line.writeStringField("request", "a \"quoted\"\nname"));
+        }
+        assertEquals(
+                "{\"at\":1000,\"host\":\"h\",\"event\":\"placed\",\"request\":\"a \\\"quoted\\\"\\nname\"}\n",
+                output.toString(StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void anOutputThatBlocksDropsLinesAndHoldsNobodyUp() {
+        CountDownLatch released = new CountDownLatch(1);
+        OutputStream blocked = new OutputStream() {
+            @Override
+            public void write(int value) {
+                try {
+                    released.await();
+                } catch (InterruptedException interruption) {
+                    Thread.currentThread().interrupt();
+                }
+            }
+        };
+        DecisionLog log = new DecisionLog(blocked, CLOCK, "h");
+        for (int line = 0; line < 30_000; line++) {
+            log.write("placed", fields -> fields.writeNumberField("n", 1));
+        }
+        assertTrue(log.dropped() > 0);
+        released.countDown();
+        log.close();
+    }
+}
--- /dev/null
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/mirror/RunnerRosterTest.java
@@ -0,0 +1,82 @@
+package org.mangowall.edge.mirror;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.mangowall.edge.decision.FleetLoad;
+import org.mangowall.edge.model.RunnerEntry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class RunnerRosterTest {
+
+    private static final long SECOND = 1_000_000_000L;
+
+    private final FleetLoad fleet = new FleetLoad("host", 4 * SECOND);
+    private final StoreContact contact = new StoreContact(0);
+    private final List<String> removed = new ArrayList<>();
+    private final RunnerRoster roster = new RunnerRoster(fleet, contact, removed::add);
+
+    private static RunnerEntry entry() {
+        return new RunnerEntry("r", 0, "s", new InetSocketAddress("127.0.0.1", 1), "a", 6, false, Duration.ZERO);
+    }
+
+    @BeforeEach
+    void list() {
+        roster.listed("r", Optional.of(entry()), 0);
+    }
+
+    @Test
+    void aRunnerThatLeavesIsGoneAtOnce() {
+        contact.answered(SECOND);
+        roster.unlisted("r", SECOND);
+        assertEquals(List.of("r"), removed);
+    }
+
+    @Test
+    void anEntryThatLapsedWhileTheStoreWasAwayIsGivenTimeToComeBack() {
+        contact.failed();
+        contact.answered(5 * SECOND);
+        roster.unlisted("r", 5 * SECOND);
+        roster.removeOverdue(6 * SECOND);
+        assertTrue(removed.isEmpty());
+        roster.listed("r", Optional.of(entry()), 7 * SECOND);
+        roster.removeOverdue(9 * SECOND);
+        assertTrue(removed.isEmpty());
+    }
+
+    @Test
+    void anEntryThatDoesNotComeBackIsGone() {
+        contact.failed();
+        contact.answered(5 * SECOND);
+        roster.unlisted("r", 5 * SECOND);
+        roster.removeOverdue(8 * SECOND);
+        assertEquals(List.of("r"), removed);
+    }
+
+    /** The store turned this host away while it answered others: an entry that goes then has not lapsed. */
+    @Test
+    void aRunnerThatLeavesAfterThisHostAloneWasTurnedAwayIsGoneAtOnce() {
+        contact.failed();
+        for (long second = 1; second <= 9; second++) {
+            contact.answeredOther(second * SECOND);
+        }
+        contact.answered(9 * SECOND + SECOND / 2);
+        roster.unlisted("r", 9 * SECOND + SECOND / 2);
+        assertEquals(List.of("r"), removed);
+    }
+
+    /** Watches of an idle store take seconds by themselves; that is no outage. */
+    @Test
+    void aQuietStoreIsNotAway() {
+        contact.answered(4 * SECOND - 1);
+        roster.unlisted("r", 4 * SECOND);
+        assertEquals(List.of("r"), removed);
+    }
+}
