Judge shares by what the engines really bear

Change: a share is the max-min share of the larger of the rated throughput and 0.95 of what is taken.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/WorkspaceShares.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/WorkspaceShares.java
@@ -16,6 +16,9 @@
     /** How long a computed share is used before it is computed anew. */
     private static final long RECOMPUTE_NANOS = 100_000_000L;
 
+    /** When the engines bear more than their rated throughput, the largest workspaces still yield first. */
+    private static final double MOST_SHARE_OF_TAKEN = 0.95;
+
     private final long bucketNanos;
     private final Map<String, double[]> tokensByWorkspace = new HashMap<>();
     private long currentBucket = Long.MIN_VALUE;
@@ -54,7 +57,7 @@
                 .mapToDouble(WorkspaceShares::sum)
                 .sorted()
                 .toArray();
-        double rest = Math.min(capacityTokens, Arrays.stream(takes).sum() * MOST_SHARE_OF_TAKEN);
+        double rest = Math.max(capacityTokens, Arrays.stream(takes).sum() * MOST_SHARE_OF_TAKEN);
         for (int index = 0; index < takes.length; index++) {
             double even = rest / (takes.length - index);
             if (takes[index] > even) {
@@ -65,9 +68,6 @@
         return Double.POSITIVE_INFINITY;
     }
 
-    /** When all engines are full below their rated throughput, the largest workspaces still yield first. */
-    private static final double MOST_SHARE_OF_TAKEN = 0.95;
-
     private void advance(long now) {
         long bucket = Math.floorDiv(now, bucketNanos);
         if (currentBucket == Long.MIN_VALUE) {
