Turn away by what is owed, and let four hosts ask the store for all

Change: above what it is owed a workspace may use less of the goal; only what is far above what others like it get is cut down to idle places. A request that is short of time goes to another runner only if that is worth reading again. Four hosts, by rank of their names, ask the store and tell the others; one that is turned away or silent is replaced.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/Admission.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/Admission.java
@@ -9,10 +9,10 @@
     /** The part of the goal that a prediction may use up; the rest covers its error and the way to the caller. */
     private static final double GOAL_SHARE = 0.85;
     /** What workspaces that take much more than their share may use of the goal. */
-    private static final double OVER_SHARE_GOAL_SHARE = 0.3;
-    /** At this multiple of its share a workspace may use only that. */
+    private static final double OVER_SHARE_GOAL_SHARE = 0.45;
+    /** At this multiple of what it is owed, a workspace may use only that. */
     private static final double OVER_SHARE = 1.5;
-    /** From this multiple of its share on, a workspace gets only what nobody waits for. */
+    /** From this multiple of what others like it get, a workspace gets only places for which nobody waits. */
     private static final double FAR_OVER_SHARE = 2.5;
     /** A prompt that takes longer to read than the goal gets this much more than its own time. */
     private static final double LONG_PROMPT_FACTOR = 1.25;
@@ -43,21 +43,20 @@
         }
         double goal = request.route().latencyGoal().toMillis();
         double left = Math.max(goal - request.elapsedMillis(), goal / 2);
-        double load = shareLoad(request, now);
+        ShareLoad load = shareLoad(request, now);
         double allowed = left * yieldFactor(request.prompt().get(), unreadTokens);
-        if (load <= 1) {
+        if (load.ofRated() <= 1) {
             double alone = LONG_PROMPT_FACTOR * fleet.readMillis(request.service(), unreadTokens);
             return Math.min(Math.max(allowed * GOAL_SHARE, alone), request.leftMillis());
         }
         return Math.min(allowed * goalShareAbove(load), request.leftMillis());
     }
 
-    private static double goalShareAbove(double load) {
-        if (load >= OVER_SHARE) {
-            double rest = Math.clamp((FAR_OVER_SHARE - load) / (FAR_OVER_SHARE - OVER_SHARE), 0, 1);
-            return OVER_SHARE_GOAL_SHARE * rest;
-        }
-        return GOAL_SHARE - (GOAL_SHARE - OVER_SHARE_GOAL_SHARE) * (load - 1) / (OVER_SHARE - 1);
+    private static double goalShareAbove(ShareLoad load) {
+        double over = Math.clamp((load.ofRated() - 1) / (OVER_SHARE - 1), 0, 1);
+        double owed = GOAL_SHARE - (GOAL_SHARE - OVER_SHARE_GOAL_SHARE) * over;
+        double farOver = Math.clamp((load.ofTaken() - OVER_SHARE) / (FAR_OVER_SHARE - OVER_SHARE), 0, 1);
+        return owed * (1 - farOver);
     }
 
     private static double yieldFactor(PromptDescription prompt, int unreadTokens) {
@@ -68,7 +67,7 @@
     }
 
     PlacementDecision refuse(PlacementRequest request, double predictedMillis, double allowed, long now) {
-        double load = shareLoad(request, now);
+        double load = shareLoad(request, now).ofRated();
         double untilShare = load <= 1 ? 0 : (load - 1) / load * shareWindowNanos / 1e6;
         double wait = Math.max(predictedMillis - allowed, untilShare);
         FailureCode code = load > 1 ? FailureCode.WORKSPACE_OVER_SHARE : FailureCode.RUNNERS_BUSY;
@@ -76,9 +75,9 @@
                 code, Math.clamp(wait, LEAST_RETRY_MILLIS, MOST_RETRY_MILLIS), predictedMillis, load);
     }
 
-    private double shareLoad(PlacementRequest request, long now) {
+    private ShareLoad shareLoad(PlacementRequest request, long now) {
         return request.workspace()
                 .map(name -> fleet.shareLoad(name, shareWindowNanos, now))
-                .orElse(0.0);
+                .orElse(ShareLoad.NONE);
     }
 }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/Candidate.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/Candidate.java
@@ -10,6 +10,7 @@
  * @param unreadTokens what it has to read of the prompt
  * @param waitedTokens what it reads until the request's first token
  * @param predictedMillis when the first part of the answer is expected
+ * @param urgentScore what sending there costs when time is short
  * @param score what sending there costs, in milliseconds of a caller's time; the lowest is best
  */
 record Candidate(
@@ -18,4 +19,5 @@
         int unreadTokens,
         long waitedTokens,
         double predictedMillis,
+        double urgentScore,
         double score) {}
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
@@ -294,7 +294,7 @@
     }
 
     /** How a workspace stands against its share; over 1 when it takes more. */
-    double shareLoad(String workspace, long windowNanos, long now) {
+    ShareLoad shareLoad(String workspace, long windowNanos, long now) {
         double capacity = tokensPerSecond <= 0 ? Double.POSITIVE_INFINITY : tokensPerSecond * windowNanos / 1e9;
         return shares.loadOf(workspace, capacity, now);
     }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/Placement.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/Placement.java
@@ -18,6 +18,8 @@
 
     /** What a token costs that is read although another runner keeps it. */
     private static final double READ_AGAIN_MILLIS_PER_TOKEN = 0.1;
+    /** How much less that counts when no runner is expected to answer in time otherwise. */
+    private static final double URGENT_READ_AGAIN_SHARE = 0.2;
     /** What a token costs that is copied from another runner. */
     private static final double FETCH_MILLIS_PER_TOKEN = 0.006;
     /** Less than this is read faster than it is fetched. */
@@ -60,7 +62,7 @@
             }
             Candidate candidate = evaluate(service, runner, holder, request, now);
             best = best == null || candidate.score() < best.score() ? candidate : best;
-            soonest = soonest == null || candidate.predictedMillis() < soonest.predictedMillis() ? candidate : soonest;
+            soonest = soonest == null || candidate.urgentScore() < soonest.urgentScore() ? candidate : soonest;
         }
         if (best == null) {
             return refuseWithoutRunner(service, now);
@@ -145,7 +147,7 @@
                 + JITTER_MILLIS * mix(request.draw(), runner);
         if (request.prompt().isEmpty() || service.engine().isEmpty()) {
             double predicted = slotWaitMillis(service, runner) + service.meanMillis();
-            return new Candidate(runner, Optional.empty(), 0, 0, predicted, predicted + common);
+            return new Candidate(runner, Optional.empty(), 0, 0, predicted, predicted, predicted + common);
         }
         return evaluateEngine(service, runner, holder, request.prompt().get(), common);
     }
@@ -167,9 +169,10 @@
                 + slotWaitMillis(service, runner)
                 + (isFetching ? FETCH_MILLIS_PER_TOKEN * fetched : 0);
         double readAgain = isFetching ? 0 : READ_AGAIN_MILLIS_PER_TOKEN * Math.max(0, fetched);
+        double urgent = predicted + URGENT_READ_AGAIN_SHARE * readAgain;
         double score = predicted + readAgain + common;
         return new Candidate(
-                runner, isFetching ? holder : Optional.empty(), Math.max(1, unread), waited, predicted, score);
+                runner, isFetching ? holder : Optional.empty(), Math.max(1, unread), waited, predicted, urgent, score);
     }
 
     private static double slotWaitMillis(ServiceState service, RunnerState runner) {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/WorkspaceShares.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/WorkspaceShares.java
@@ -1,6 +1,5 @@
 package org.mangowall.edge.decision;
 
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
@@ -23,7 +22,8 @@
     private final Map<String, double[]> tokensByWorkspace = new HashMap<>();
     private long currentBucket = Long.MIN_VALUE;
     private long computedAt = Long.MIN_VALUE;
-    private double level = Double.POSITIVE_INFINITY;
+    private double ratedLevel = Double.POSITIVE_INFINITY;
+    private double takenLevel = Double.POSITIVE_INFINITY;
 
     /** Shares are kept over a sliding window of this length. */
     public WorkspaceShares(long windowNanos) {
@@ -37,18 +37,23 @@
     }
 
     /**
-     * What a workspace took in the window against the share that it is owed; over 1 when it took more.
+     * What a workspace took in the window.
      *
-     * @param capacityTokens what all engines bear in the window
+     * @param ratedTokens what all engines are rated to bear in the window
      */
-    public double loadOf(String workspace, double capacityTokens, long now) {
+    public ShareLoad loadOf(String workspace, double ratedTokens, long now) {
         advance(now);
         if (computedAt == Long.MIN_VALUE || now - computedAt > RECOMPUTE_NANOS) {
-            level = maxMinLevel(capacityTokens);
+            double takenByAll = tokensByWorkspace.values().stream()
+                    .mapToDouble(WorkspaceShares::sum)
+                    .sum();
+            ratedLevel = maxMinLevel(Math.min(ratedTokens, takenByAll * MOST_SHARE_OF_TAKEN));
+            takenLevel = maxMinLevel(Math.max(ratedTokens, takenByAll * MOST_SHARE_OF_TAKEN));
             computedAt = now;
         }
         double[] taken = tokensByWorkspace.get(workspace);
-        return taken == null ? 0 : sum(taken) / level;
+        double tokens = taken == null ? 0 : sum(taken);
+        return new ShareLoad(tokens / ratedLevel, tokens / takenLevel);
     }
 
     /** The largest take of a workspace at which the takes of all, each cut there, fit into the capacity. */
@@ -57,7 +62,7 @@
                 .mapToDouble(WorkspaceShares::sum)
                 .sorted()
                 .toArray();
-        double rest = Math.max(capacityTokens, Arrays.stream(takes).sum() * MOST_SHARE_OF_TAKEN);
+        double rest = capacityTokens;
         for (int index = 0; index < takes.length; index++) {
             double even = rest / (takes.length - index);
             if (takes[index] > even) {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/mirror/StoreContact.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/mirror/StoreContact.java
@@ -57,6 +57,16 @@
         return isNew;
     }
 
+    /** When the store last answered any host. */
+    public long lastAnswerAt() {
+        return lastAnswerAt;
+    }
+
+    /** Whether this host's last call failed. */
+    public boolean isLost() {
+        return isLost;
+    }
+
     /** Whether the store answers no host. */
     public boolean isAway(long now) {
         return now - lastAnswerAt >= (isLost ? AWAY_NANOS : SILENT_NANOS);
--- a/mangowall-edge/src/main/java/org/mangowall/edge/mirror/StoreFollower.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/mirror/StoreFollower.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
@@ -22,6 +23,9 @@
     /** Spreads the watches of hosts that started together. */
     private static final long WAIT_SPREAD_MILLIS = 800;
 
+    /** How often a host that doesn't follow looks whether it should. */
+    private static final long OFF_DUTY_MILLIS = 100;
+
     private static final long FIRST_PAUSE_MILLIS = 60;
     private static final long LONGEST_PAUSE_MILLIS = 1_000;
 
@@ -32,6 +36,7 @@
     private final EventLoop loop;
     private final LongSupplier nanos;
     private final Consumer<String> contactLog;
+    private final BooleanSupplier isOnDuty;
     private long pauseMillis = FIRST_PAUSE_MILLIS;
     private boolean needsList = true;
     private List<StoredObject> listed = new ArrayList<>();
@@ -42,6 +47,7 @@
      *
      * @param contact shared by the followers of one store
      * @param contactLog hears when the store is lost or regained
+     * @param isOnDuty whether this host asks the store; otherwise it hears of changes from hosts that do
      */
     public StoreFollower(
             ObjectKind kind,
@@ -50,7 +56,8 @@
             StoreContact contact,
             EventLoop loop,
             LongSupplier nanos,
-            Consumer<String> contactLog) {
+            Consumer<String> contactLog,
+            BooleanSupplier isOnDuty) {
         this.kind = kind;
         this.calls = calls;
         this.mirror = mirror;
@@ -58,6 +65,7 @@
         this.loop = loop;
         this.nanos = nanos;
         this.contactLog = contactLog;
+        this.isOnDuty = isOnDuty;
     }
 
     /** Begins to follow; goes on until the thread ends. */
@@ -66,6 +74,11 @@
     }
 
     private void next() {
+        // A host that was turned away goes on asking, slowly, until it knows that the store answers it again.
+        if (!isOnDuty.getAsBoolean() && !contact.isLost()) {
+            loop.schedule(this::next, OFF_DUTY_MILLIS, TimeUnit.MILLISECONDS);
+            return;
+        }
         if (needsList) {
             listed = new ArrayList<>();
             listedAsOf = Long.MAX_VALUE;
--- a/mangowall-edge/src/main/java/org/mangowall/edge/mirror/StoreMirror.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/mirror/StoreMirror.java
@@ -23,6 +23,7 @@
     private final Map<ObjectKind, Map<String, StoredObject>> objects = new EnumMap<>(ObjectKind.class);
     private final Map<ObjectKind, Long> completeTo = new EnumMap<>(ObjectKind.class);
     private final Consumer<StoredObject> listener;
+    private long changes;
 
     /**
      * Starts empty.
@@ -61,6 +62,11 @@
         return completeTo.get(kind);
     }
 
+    /** Counts the changes so far. */
+    public long changes() {
+        return changes;
+    }
+
     /** What changed in a kind after a revision. */
     public List<StoredObject> changedAfter(ObjectKind kind, long revision) {
         List<StoredObject> changed = new ArrayList<>();
@@ -79,6 +85,7 @@
             return;
         }
         known.put(object.name(), object);
+        changes += 1;
         if (previous != null || !object.isDeleted()) {
             listener.accept(object);
         }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerCodec.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerCodec.java
@@ -67,6 +67,7 @@
     private static void packPulse(MessageBufferPacker packer, PeerNews.Pulse pulse) throws IOException {
         packer.packInt(PULSE);
         packer.packBoolean(pulse.isReady());
+        packer.packBoolean(pulse.hasStore());
         for (ObjectKind kind : ObjectKind.values()) {
             packer.packLong(pulse.completeTo().getOrDefault(kind, 0L));
         }
@@ -163,6 +164,7 @@
 
     private static PeerNews unpackPulse(MessageUnpacker unpacker) throws IOException {
         boolean isReady = unpacker.unpackBoolean();
+        boolean hasStore = unpacker.unpackBoolean();
         Map<ObjectKind, Long> completeTo = new EnumMap<>(ObjectKind.class);
         for (ObjectKind kind : ObjectKind.values()) {
             completeTo.put(kind, unpacker.unpackLong());
@@ -172,7 +174,7 @@
         for (int index = 0; index < count; index++) {
             events.add(unpackEvent(unpacker));
         }
-        return new PeerNews.Pulse(isReady, completeTo, events);
+        return new PeerNews.Pulse(isReady, hasStore, completeTo, events);
     }
 
     private static LoadEvent unpackEvent(MessageUnpacker unpacker) throws IOException {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
@@ -26,6 +26,7 @@
 import org.mangowall.edge.model.HostRecord;
 import org.mangowall.edge.traffic.LoadNews;
 import org.mangowall.edge.wire.ObjectKind;
+import org.mangowall.edge.wire.StoredObject;
 import org.mangowall.inventory.checked.HostAndPort;
 import org.mangowall.inventory.checked.UnitSyntax;
 
@@ -38,16 +39,19 @@
 public final class PeerMesh implements LoadNews, PeerChannel.Receiver {
 
     /** A host that was not heard for so long is not named to callers. */
-    private static final long SILENT_NANOS = 1_500_000_000L;
+    private static final long SILENT_NANOS = 1_600_000_000L;
     /** The work of a host that was not heard for so long has ended with its connections. */
     private static final long GONE_NANOS = 3_000_000_000L;
     /** A connection on which nothing is answered for so long is replaced. */
-    private static final long UNANSWERED_NANOS = 1_200_000_000L;
+    private static final long UNANSWERED_NANOS = 1_800_000_000L;
     /** How long news waits for more of it, for each host that gets it. */
     private static final long GATHER_NANOS_PER_HOST = 5_000_000L;
 
     private static final long LEAST_GATHER_NANOS = 40_000_000L;
-    private static final long MOST_GATHER_NANOS = 400_000_000L;
+    private static final long MOST_GATHER_NANOS = 700_000_000L;
+    /** Above this size, news waits longer in proportion, since all hosts hear of all. */
+    private static final double MIDDLE_FLEET_HOSTS = 20;
+
     private static final long HEARTBEAT_NANOS = 250_000_000L;
     private static final long TICK_MILLIS = 20;
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
@@ -56,9 +60,22 @@
     /** Between two tellings of stored objects to the same host: the time that one takes to arrive. */
     private static final long OBJECTS_PAUSE_NANOS = 150_000_000L;
 
+    /** So many hosts ask the store; more than may be turned away by it together on a small fleet. */
+    private static final int STORE_HOSTS = 4;
+    /** Without news of the store from any host for so long, each asks by itself. */
+    private static final long STALE_NANOS = 4_200_000_000L;
+    /** A host that doesn't ask the store leaves it so long to those that do to tell the others. */
+    private static final long LEFT_TO_DUTY_NANOS = 800_000_000L;
+    /** How often the others' knowledge is compared when nothing changed. */
+    private static final long COMPARE_NANOS = 200_000_000L;
+    /** How often a host that is heard is told so. */
+    private static final long ACKNOWLEDGE_NANOS = 400_000_000L;
+
     /** A host that starts asks so many others what the runners keep; one of them may have just started as well. */
     private static final int PARTS_FROM_HOSTS = 2;
 
+    private static final byte[] HEARD = PeerCodec.encode(new PeerNews.Heard());
+
     private final HostRecord self;
     private final FleetLoad fleet;
     private final StoreMirror mirror;
@@ -71,6 +88,9 @@
     private final Map<String, PeerState> seeds = new HashMap<>();
     private List<LoadEvent> pending = new ArrayList<>();
     private long toldAt;
+    private long toldChanges;
+    private long comparedAt;
+    private long acknowledgedAt;
     private boolean hasUrgentNews;
     private int partsAsked;
 
@@ -161,8 +181,14 @@
         forgetSilent(now);
         seeds.values().forEach(seed -> dialIfNeeded(seed, now));
         peers.values().forEach(peer -> dialIfNeeded(peer, now));
-        long gather = Math.clamp(GATHER_NANOS_PER_HOST * peers.size(), LEAST_GATHER_NANOS, MOST_GATHER_NANOS);
-        long due = pending.isEmpty() ? HEARTBEAT_NANOS : gather;
+        if (mirror.changes() != toldChanges || now - comparedAt > COMPARE_NANOS) {
+            toldChanges = mirror.changes();
+            comparedAt = now;
+            boolean isOnDuty = isOnStoreDuty();
+            peers.values().forEach(peer -> tellMissing(peer, isOnDuty, now));
+        }
+        long gather = gatherNanos(peers.size());
+        long due = pending.isEmpty() ? Math.max(gather, HEARTBEAT_NANOS) : gather;
         if (hasUrgentNews || now - toldAt >= due) {
             hasUrgentNews = false;
             toldAt = now;
@@ -170,6 +196,11 @@
         }
     }
 
+    private static long gatherNanos(int hosts) {
+        double crowding = Math.max(1, hosts / MIDDLE_FLEET_HOSTS);
+        return Math.clamp((long) (GATHER_NANOS_PER_HOST * hosts * crowding), LEAST_GATHER_NANOS, MOST_GATHER_NANOS);
+    }
+
     private void forgetSilent(long now) {
         List<String> names = new ArrayList<>();
         names.add(self.name());
@@ -191,6 +222,8 @@
     private void pulse(long now) {
         byte[] pulse = PeerCodec.encode(statePulse(pending));
         pending = new ArrayList<>();
+        boolean acknowledges = now - acknowledgedAt >= ACKNOWLEDGE_NANOS;
+        acknowledgedAt = acknowledges ? now : acknowledgedAt;
         for (PeerState peer : peers.values()) {
             if (peer.outbound() != null && peer.outbound().isWritable()) {
                 peer.outbound().send(pulse);
@@ -199,8 +232,8 @@
                     peer.outbound().send(statePulse(List.copyOf(fleet.keptParts())));
                 }
             }
-            if (peer.inbound() != null && now - peer.heardAt() < HEARTBEAT_NANOS * 2) {
-                peer.inbound().send(new PeerNews.Heard());
+            if (acknowledges && peer.inbound() != null && now - peer.heardAt() < HEARTBEAT_NANOS * 4) {
+                peer.inbound().send(HEARD);
             }
         }
     }
@@ -268,7 +301,7 @@
         for (ObjectKind kind : ObjectKind.values()) {
             completeTo.put(kind, mirror.completeTo(kind));
         }
-        return new PeerNews.Pulse(isReady.getAsBoolean(), completeTo, events);
+        return new PeerNews.Pulse(isReady.getAsBoolean(), !contact.isLost(), completeTo, events);
     }
 
     @Override
@@ -324,19 +357,43 @@
             contact.answeredOther(now);
         }
         pulse.events().forEach(event -> fleet.apply(peer.host().name(), event, now));
-        if (now - peer.toldObjectsAt() >= OBJECTS_PAUSE_NANOS) {
-            tellMissing(peer, pulse.completeTo(), now);
+        peer.setHasStore(pulse.hasStore());
+    }
+
+    /** Whether this host is one of those that ask the store for the others. */
+    public boolean isOnStoreDuty() {
+        long now = nanos.getAsLong();
+        if (now - contact.lastAnswerAt() > STALE_NANOS) {
+            return true;
+        }
+        int ahead = 0;
+        for (PeerState peer : peers.values()) {
+            if (isAlive(peer, now) && peer.hasStore() && dutyRank(peer.host().name()) < dutyRank(self.name())) {
+                ahead += 1;
+            }
         }
+        return ahead < STORE_HOSTS;
     }
 
-    private void tellMissing(PeerState peer, Map<ObjectKind, Long> completeTo, long now) {
-        if (peer.outbound() == null || !peer.outbound().isWritable()) {
+    /** Spreads the duty over availability zones: names of a zone follow each other, their hashes don't. */
+    private static int dutyRank(String name) {
+        return name.hashCode() * 0x9E3779B9;
+    }
+
+    private void tellMissing(PeerState peer, boolean isOnDuty, long now) {
+        if (peer.outbound() == null
+                || !peer.outbound().isWritable()
+                || now - peer.toldObjectsAt() < OBJECTS_PAUSE_NANOS) {
             return;
         }
-        for (Map.Entry<ObjectKind, Long> entry : completeTo.entrySet()) {
+        for (Map.Entry<ObjectKind, Long> entry : peer.completeTo().entrySet()) {
             ObjectKind kind = entry.getKey();
-            var missing = mirror.changedAfter(kind, entry.getValue());
-            if (!missing.isEmpty() && mirror.completeTo(kind) > entry.getValue()) {
+            if (mirror.completeTo(kind) <= entry.getValue()) {
+                continue;
+            }
+            List<StoredObject> missing = mirror.changedAfter(kind, entry.getValue());
+            long lacking = peer.lackingFor(!missing.isEmpty(), now);
+            if (!missing.isEmpty() && (isOnDuty || lacking > LEFT_TO_DUTY_NANOS)) {
                 peer.outbound().send(new PeerNews.Objects(kind, mirror.completeTo(kind), missing));
                 peer.noteToldObjects(now);
             }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerNews.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerNews.java
@@ -24,10 +24,12 @@
      * The sender's state, and what happened since its last message.
      *
      * @param isReady whether it takes requests
+     * @param hasStore whether the platform's store answers it, as far as it knows
      * @param completeTo up to which revision it knows each kind of object
      * @param events its work at runners
      */
-    record Pulse(boolean isReady, Map<ObjectKind, Long> completeTo, List<LoadEvent> events) implements PeerNews {}
+    record Pulse(boolean isReady, boolean hasStore, Map<ObjectKind, Long> completeTo, List<LoadEvent> events)
+            implements PeerNews {}
 
     /**
      * What the sender knows of the store and the receiver doesn't.
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerState.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerState.java
@@ -12,6 +12,9 @@
     private PeerChannel inbound;
     private PeerChannel outbound;
     private boolean isReady;
+    private boolean hasStore = true;
+    private Map<ObjectKind, Long> completeTo = Map.of();
+    private long lackingSince = Long.MAX_VALUE;
     private boolean isDialing;
     private boolean isCounted;
     private boolean wantsParts;
@@ -116,13 +119,33 @@
     }
 
     /** Takes up to which revisions it knows the store; tells whether that is more than before. */
-    boolean noteKnowledge(Map<ObjectKind, Long> completeTo) {
+    boolean noteKnowledge(Map<ObjectKind, Long> newCompleteTo) {
+        completeTo = newCompleteTo;
         long sum = completeTo.values().stream().mapToLong(Long::longValue).sum();
         boolean isMore = knowledge != 0 && sum > knowledge;
         knowledge = sum;
         return isMore;
     }
 
+    /** Up to which revisions it knows the store. */
+    Map<ObjectKind, Long> completeTo() {
+        return completeTo;
+    }
+
+    boolean hasStore() {
+        return hasStore;
+    }
+
+    void setHasStore(boolean has) {
+        hasStore = has;
+    }
+
+    /** For how long it has lacked objects that this host knows. */
+    long lackingFor(boolean isLacking, long now) {
+        lackingSince = isLacking ? Math.min(lackingSince, now) : Long.MAX_VALUE;
+        return isLacking ? now - lackingSince : 0;
+    }
+
     long toldObjectsAt() {
         return toldObjectsAt;
     }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
@@ -130,7 +130,9 @@
         callers = new CallerConnections(context, new RunnerConnections(context));
         StoreCalls calls = adapter.connect(settings.store().toSocketAddress(), loop);
         for (ObjectKind kind : List.of(ObjectKind.CONFIGURATION, ObjectKind.RUNNER, ObjectKind.CLOSED_ZONE)) {
-            new StoreFollower(kind, calls, mirror, contact, loop, System::nanoTime, this::logContact).start();
+            new StoreFollower(
+                            kind, calls, mirror, contact, loop, System::nanoTime, this::logContact, mesh::isOnStoreDuty)
+                    .start();
         }
         new HostRegistry(self, calls, adapter.objects(), loop, mesh::found).start();
         mesh.start();
--- a/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerCodecTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerCodecTest.java
@@ -33,6 +33,7 @@
         List<PromptPart> parts = List.of(new PromptPart(-1, 5), new PromptPart(Long.MAX_VALUE, 0));
         assertUnchanged(new PeerNews.Pulse(
                 true,
+                false,
                 Map.of(
                         ObjectKind.CONFIGURATION, 1L,
                         ObjectKind.RUNNER, 2L,
