--- a/mangowall-command/src/main/java/org/mangowall/command/CommandHelp.java
+++ b/mangowall-command/src/main/java/org/mangowall/command/CommandHelp.java
@@ -16,8 +16,8 @@
 
     private static final String PROGRAM = "mangowall";
     private static final int COLUMNS = 100;
-    private static final List<String> HELP_ORDER =
-            List.of("validate", "plan", "apply", "get", "status", "zone", "runner", "workspace", "explain", "version");
+    private static final List<String> HELP_ORDER = List.of(
+            "validate", "plan", "apply", "get", "status", "zone", "runner", "workspace", "explain", "trace", "version");
 
     private CommandHelp() {}
 
--- /dev/null
+++ b/mangowall-command/src/main/java/org/mangowall/command/subcommand/TraceCommand.java
@@ -0,0 +1,129 @@
+package org.mangowall.command.subcommand;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.mangowall.command.ClientOptions;
+import org.mangowall.command.CommandContext;
+import org.mangowall.command.Subcommand;
+import org.mangowall.command.output.ExitCode;
+import org.mangowall.command.output.Json;
+import org.mangowall.command.output.Report;
+import org.mangowall.command.output.TextTable;
+import org.mangowall.kernel.failure.FailureCode;
+import org.mangowall.kernel.failure.MangowallException;
+
+/** Tells what the logs of hosts hold on a request, in the order of time. */
+@Parameters(commandDescription = "Tell what became of a request, from log files of hosts")
+public final class TraceCommand implements Subcommand {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final List<String> HEAD_FIELDS = List.of("at", "host", "event", "request");
+
+    @ParametersDelegate
+    private final ClientOptions options = new ClientOptions();
+
+    @Parameter(description = "REQUEST LOG...", required = true)
+    private List<String> requestAndLogs;
+
+    @Override
+    public String pluginName() {
+        return "trace";
+    }
+
+    @Override
+    public ClientOptions options() {
+        return options;
+    }
+
+    @Override
+    public List<String> examples() {
+        return List.of("mangowall trace 9c41d07be2a35f68 host-1.log host-2.log");
+    }
+
+    @Override
+    public Report run(CommandContext context) {
+        String request = requestAndLogs.getFirst();
+        List<JsonNode> lines = new ArrayList<>();
+        for (String file : requestAndLogs.subList(1, requestAndLogs.size())) {
+            lines.addAll(linesOf(request, Path.of(file)));
+        }
+        lines.sort(Comparator.comparingLong(line -> line.path("at").asLong()));
+        ExitCode exitCode = lines.isEmpty() ? ExitCode.REFUSED : ExitCode.DONE;
+        return new Report(exitCode, toText(request, lines), toJson(request, lines));
+    }
+
+    private static List<JsonNode> linesOf(String request, Path file) {
+        try (Stream<String> lines = Files.lines(file, StandardCharsets.UTF_8)) {
+            return lines.filter(line -> line.contains(request))
+                    .map(TraceCommand::parse)
+                    .flatMap(Optional::stream)
+                    .filter(line -> line.path("request").asText().equals(request))
+                    .toList();
+        } catch (IOException | UncheckedIOException failure) {
+            throw new MangowallException(FailureCode.USAGE, "the log " + file + " can't be read", failure);
+        }
+    }
+
+    private static Optional<JsonNode> parse(String line) {
+        int start = line.indexOf('{');
+        try {
+            return start < 0 ? Optional.empty() : Optional.of(MAPPER.readTree(line.substring(start)));
+        } catch (JsonProcessingException cut) {
+            // The last line of a host that was killed may be cut; the others hold.
+            return Optional.empty();
+        }
+    }
+
+    private static String toText(String request, List<JsonNode> lines) {
+        if (lines.isEmpty()) {
+            return "The logs hold nothing on request " + request + ".";
+        }
+        TextTable table = new TextTable("TIME", "HOST", "EVENT", "DETAILS");
+        for (JsonNode line : lines) {
+            table.row(
+                    Instant.ofEpochMilli(line.path("at").asLong()),
+                    line.path("host").asText(),
+                    line.path("event").asText(),
+                    details(line));
+        }
+        return table.toString().stripTrailing();
+    }
+
+    private static String details(JsonNode line) {
+        StringBuilder details = new StringBuilder();
+        line.fieldNames().forEachRemaining(name -> {
+            if (!HEAD_FIELDS.contains(name)) {
+                details.append(name)
+                        .append('=')
+                        .append(line.path(name).asText())
+                        .append(' ');
+            }
+        });
+        return details.toString().stripTrailing();
+    }
+
+    private static ObjectNode toJson(String request, List<JsonNode> lines) {
+        ObjectNode json = Json.object().put("request", request);
+        ArrayNode records = json.putArray("records");
+        lines.forEach(records::add);
+        return json;
+    }
+}
--- a/mangowall-command/src/test/java/org/mangowall/command/CommandSession.java
+++ b/mangowall-command/src/test/java/org/mangowall/command/CommandSession.java
@@ -72,7 +72,7 @@
         CommandLine commandLine = new CommandLine(stream, stream, clock, pause);
         String[] words = real(line).isEmpty() ? new String[0] : real(line).split(" ");
         for (int index = 0; index < words.length; index++) {
-            if (words[index].endsWith(".toml") || words[index].endsWith(".token")) {
+            if (words[index].endsWith(".toml") || words[index].endsWith(".token") || words[index].endsWith(".log")) {
                 words[index] = folder.resolve(words[index]).toString();
             }
         }
--- a/mangowall-command/src/test/java/org/mangowall/command/CommandSessionsTest.java
+++ b/mangowall-command/src/test/java/org/mangowall/command/CommandSessionsTest.java
@@ -203,6 +203,25 @@
         Approvals.verify(session.transcript());
     }
 
+    @Test
+    void aRequestIsFollowedThroughTheLogsOfHosts() {
+        session.file("host-1.log", """
+                        {"at":1780280253754,"host":"host-1","event":"placed","request":"9c41","runner":"i-1"}
+                        {"at":1780280253760,"host":"host-1","event":"placed","request":"9c42","runner":"i-1"}
+                        {"at":1780280253790,"host":"host-1","event":"not-run","request":"9c41","reason":"status 503"}
+                        {"at":1780280253795,"host":"host-1","event":"ended","request":"9c41","outcome":"retries-exha
+                        """)
+                .file("host-2.log", """
+                        {"at":1780280253700,"host":"host-2","event":"turned-away","request":"9c41","code":"no-runner"}
+                        """)
+                .run("trace 9c41 host-1.log host-2.log")
+                .run("trace 9c41 host-2.log --output json")
+                .run("trace none host-1.log")
+                .run("trace 9c41 missing.log")
+                .run("trace");
+        Approvals.verify(session.transcript());
+    }
+
     @Test
     void theGivenTokenIsNeverShown() {
         first.requireToken("correct-horse");
