--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
@@ -26,7 +26,6 @@
 import org.mangowall.edge.model.HostRecord;
 import org.mangowall.edge.traffic.LoadNews;
 import org.mangowall.edge.wire.ObjectKind;
-import org.mangowall.edge.wire.StoredObject;
 import org.mangowall.inventory.checked.HostAndPort;
 import org.mangowall.inventory.checked.UnitSyntax;
 
@@ -57,17 +56,7 @@
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
     private static final long FIRST_DIAL_PAUSE_NANOS = 100_000_000L;
     private static final long MOST_DIAL_PAUSE_NANOS = 1_000_000_000L;
-    /** Between two tellings of stored objects to the same host: the time that one takes to arrive. */
-    private static final long OBJECTS_PAUSE_NANOS = 150_000_000L;
-
-    /** So many hosts ask the store; more than may be turned away by it together on a small fleet. */
-    private static final int STORE_HOSTS = 4;
-    /** Without news of the store from any host for so long, each asks by itself. */
-    private static final long STALE_NANOS = 4_200_000_000L;
-    /** A host that doesn't ask the store leaves it so long to those that do to tell the others. */
-    private static final long LEFT_TO_DUTY_NANOS = 800_000_000L;
-    /** How often the others' knowledge is compared when nothing changed. */
-    private static final long COMPARE_NANOS = 200_000_000L;
+
     /** How often a host that is heard is told so. */
     private static final long ACKNOWLEDGE_NANOS = 400_000_000L;
 
@@ -84,12 +73,11 @@
     private final EventLoop loop;
     private final LongSupplier nanos;
     private final BooleanSupplier isReady;
+    private final StoreDuty duty;
     private final Map<String, PeerState> peers = new HashMap<>();
     private final Map<String, PeerState> seeds = new HashMap<>();
     private List<LoadEvent> pending = new ArrayList<>();
     private long toldAt;
-    private long toldChanges;
-    private long comparedAt;
     private long acknowledgedAt;
     private boolean hasUrgentNews;
     private int partsAsked;
@@ -114,6 +102,7 @@
         this.fleet = fleet;
         this.mirror = mirror;
         this.contact = contact;
+        this.duty = new StoreDuty(self.name(), mirror, contact);
         this.log = log;
         this.loop = loop;
         this.nanos = nanos;
@@ -181,11 +170,9 @@
         forgetSilent(now);
         seeds.values().forEach(seed -> dialIfNeeded(seed, now));
         peers.values().forEach(peer -> dialIfNeeded(peer, now));
-        if (mirror.changes() != toldChanges || now - comparedAt > COMPARE_NANOS) {
-            toldChanges = mirror.changes();
-            comparedAt = now;
+        if (duty.isDue(now)) {
             boolean isOnDuty = isOnStoreDuty();
-            peers.values().forEach(peer -> tellMissing(peer, isOnDuty, now));
+            peers.values().forEach(peer -> duty.tellMissing(peer, isOnDuty, now));
         }
         long gather = gatherNanos(peers.size());
         long due = pending.isEmpty() ? Math.max(gather, HEARTBEAT_NANOS) : gather;
@@ -363,41 +350,8 @@
     /** Whether this host is one of those that ask the store for the others. */
     public boolean isOnStoreDuty() {
         long now = nanos.getAsLong();
-        if (now - contact.lastAnswerAt() > STALE_NANOS) {
-            return true;
-        }
-        int ahead = 0;
-        for (PeerState peer : peers.values()) {
-            if (isAlive(peer, now) && peer.hasStore() && dutyRank(peer.host().name()) < dutyRank(self.name())) {
-                ahead += 1;
-            }
-        }
-        return ahead < STORE_HOSTS;
-    }
-
-    /** Spreads the duty over availability zones: names of a zone follow each other, their hashes don't. */
-    private static int dutyRank(String name) {
-        return name.hashCode() * 0x9E3779B9;
-    }
-
-    private void tellMissing(PeerState peer, boolean isOnDuty, long now) {
-        if (peer.outbound() == null
-                || !peer.outbound().isWritable()
-                || now - peer.toldObjectsAt() < OBJECTS_PAUSE_NANOS) {
-            return;
-        }
-        for (Map.Entry<ObjectKind, Long> entry : peer.completeTo().entrySet()) {
-            ObjectKind kind = entry.getKey();
-            if (mirror.completeTo(kind) <= entry.getValue()) {
-                continue;
-            }
-            List<StoredObject> missing = mirror.changedAfter(kind, entry.getValue());
-            long lacking = peer.lackingFor(!missing.isEmpty(), now);
-            if (!missing.isEmpty() && (isOnDuty || lacking > LEFT_TO_DUTY_NANOS)) {
-                peer.outbound().send(new PeerNews.Objects(kind, mirror.completeTo(kind), missing));
-                peer.noteToldObjects(now);
-            }
-        }
+        return duty.isOnDuty(
+                peers.values().stream().filter(peer -> isAlive(peer, now)).toList(), now);
     }
 
     private void answered(PeerChannel from, long now) {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
@@ -40,18 +40,13 @@
     /** When a runner that turned a request away may have room again. */
     private static final double SHED_RETRY_MILLIS = 200;
 
-    private static final double SILENCE_FACTOR = 3;
-    private static final double SILENCE_GOALS = 2;
-    private static final long LEAST_SILENCE_MILLIS = 600;
-    /** Callers give a stream up after two seconds without an event; another runner needs a part of that. */
-    private static final long GAP_MILLIS = 1_100;
-
     private final EdgeContext context;
     private final RunnerConnections runners;
     private final CallerConnection caller;
     private final HttpRequest head;
     private final ByteBuf body;
     private final long startedAt;
+    private final ExchangeLog log;
     private final Set<String> excluded = new HashSet<>();
     private CallerRequest request;
     private Route route;
@@ -73,6 +68,7 @@
         this.head = head;
         this.body = body;
         this.startedAt = context.now();
+        this.log = new ExchangeLog(context);
     }
 
     /** Finds the route and the workspace, and sends the request on its way. */
@@ -148,17 +144,7 @@
     }
 
     private void turnAway(PlacementDecision.Refuse refusal) {
-        context.log().write("turned-away", line -> {
-            line.writeStringField("request", identifier());
-            line.writeStringField("route", route.name());
-            line.writeStringField("workspace", workspace.orElse(""));
-            line.writeStringField("code", refusal.code().code());
-            line.writeNumberField("predictedMillis", Math.round(refusal.predictedMillis()));
-            line.writeNumberField("shareLoad", refusal.shareLoad());
-            line.writeNumberField("runners", context.fleet().runnerCount());
-            line.writeNumberField("configuration", configurationVersion());
-            line.writeNumberField("offers", offers);
-        });
+        log.turnedAway(this, refusal);
         if (runs > 0) {
             refuse(FailureCode.RUNNER_CONNECTION_LOST, 0);
             return;
@@ -166,10 +152,6 @@
         refuse(refusal.code(), refusal.retryAfterMillis());
     }
 
-    private long configurationVersion() {
-        return context.table().map(RouteTable::version).orElse(0L);
-    }
-
     private void send(PlacementDecision.Send decision) {
         long number = context.nextNumber();
         attempt = new RunnerAttempt(context, this, decision, number);
@@ -183,17 +165,7 @@
                 prompt.map(known -> known.promptTokens() + known.outputTokens()).orElse(0),
                 prompt.map(PromptDescription::costTokens).orElse(0L)));
         context.metrics().sent(service, runs > 0);
-        context.log().write("placed", line -> {
-            line.writeStringField("request", identifier());
-            line.writeStringField("route", route.name());
-            line.writeStringField("workspace", workspace.orElse(""));
-            line.writeStringField("runner", decision.runner().identifier());
-            line.writeNumberField("predictedMillis", Math.round(decision.predictedMillis()));
-            line.writeNumberField("unreadTokens", decision.unreadTokens());
-            line.writeNumberField("waitedTokens", decision.waitedTokens());
-            line.writeNumberField("configuration", configurationVersion());
-            line.writeNumberField("offers", offers);
-        });
+        log.placed(this, decision);
         runners.acquire(decision.runner(), attempt::connected);
     }
 
@@ -222,21 +194,29 @@
         return request == null ? "" : request.identifier();
     }
 
-    long silenceMillis(PlacementDecision.Send decision) {
-        double goals = SILENCE_GOALS * route.latencyGoal().toMillis();
-        double predicted = SILENCE_FACTOR * decision.predictedMillis();
-        return (long) Math.max(predicted, route.kind().isStream() ? Math.max(goals, LEAST_SILENCE_MILLIS) : goals);
+    String routeName() {
+        return route == null ? "none" : route.name();
+    }
+
+    Optional<String> workspace() {
+        return workspace;
     }
 
-    long gapMillis() {
-        return Math.max(GAP_MILLIS, 2 * route.gapGoal().toMillis());
+    /** How often the request was offered to runners. */
+    int offers() {
+        return offers;
+    }
+
+    /** On how many runners the request has run, or may have. */
+    int runs() {
+        return runs;
     }
 
     void noteEvent(String identifier) {
         lastEvent = Optional.of(identifier);
     }
 
-    private double elapsedMillis() {
+    double elapsedMillis() {
         return (context.now() - startedAt) / NANOS_PER_MILLI;
     }
 
@@ -247,7 +227,7 @@
     /** No connection could be had, so the request has not reached the runner. */
     void notReached(RunnerAttempt tried, String reason) {
         attempt = null;
-        logTrouble("not-reached", tried, reason);
+        log.trouble(this, "not-reached", tried, reason);
         offerElsewhere(tried, true);
     }
 
@@ -261,7 +241,7 @@
             context.fleet().shed(tried.runner().identifier(), context.now());
         }
         context.metrics().trouble(service, "not-run");
-        logTrouble("not-run", tried, "status " + answer.status());
+        log.trouble(this, "not-run", tried, "status " + answer.status());
         offerElsewhere(
                 tried, context.retryBudget(service).tryTake(context.fleet().hostCount(), context.now()));
     }
@@ -284,7 +264,7 @@
 
     /** The runner shows no sign of progress. */
     void silent(RunnerAttempt tried) {
-        logTrouble("silent", tried, "nothing came for " + Math.round(tried.runMillis()) + " ms");
+        log.trouble(this, "silent", tried, "nothing came for " + Math.round(tried.runMillis()) + " ms");
         if (route.kind().isRepeatable() && mayRunAgain()) {
             tried.cancel();
             attempt = null;
@@ -295,7 +275,7 @@
     /** The attempt ended without a complete answer, and the runner may have run it. */
     void failed(RunnerAttempt tried, String reason) {
         attempt = null;
-        logTrouble("failed", tried, reason);
+        log.trouble(this, "failed", tried, reason);
         if (route.kind().isRepeatable() && mayRunAgain()) {
             runAgain(tried);
             return;
@@ -327,17 +307,6 @@
         refuse(code, 0);
     }
 
-    private void logTrouble(String event, RunnerAttempt tried, String reason) {
-        context.log().write(event, line -> {
-            line.writeStringField("request", identifier());
-            line.writeStringField("route", route.name());
-            line.writeStringField("runner", tried.runner().identifier());
-            line.writeStringField("reason", reason);
-            line.writeNumberField("runs", runs);
-            line.writeNumberField("elapsedMillis", Math.round(elapsedMillis()));
-        });
-    }
-
     /** Passes a part of a stream on. */
     void relay(RunnerAttempt source, HttpResponse answerHead, ByteBuf bytes) {
         if (!writer.hasBegun()) {
@@ -363,7 +332,7 @@
         boolean isFailure = answer.status().code() >= 500;
         if (isFailure && route.kind().isRepeatable() && mayRunAgain()) {
             whole.release();
-            logTrouble("failed", source, "status " + answer.status().code());
+            log.trouble(this, "failed", source, "status " + answer.status().code());
             runAgain(source);
             return;
         }
@@ -422,15 +391,7 @@
             deadline.cancel(false);
         }
         body.release();
-        String routeName = route == null ? "none" : route.name();
-        context.metrics().answered(routeName, outcome);
-        context.log().write("ended", line -> {
-            line.writeStringField("request", identifier());
-            line.writeStringField("route", routeName);
-            line.writeStringField("workspace", workspace.orElse(""));
-            line.writeStringField("outcome", outcome);
-            line.writeNumberField("runs", runs);
-            line.writeNumberField("elapsedMillis", Math.round(elapsedMillis()));
-        });
+        context.metrics().answered(routeName(), outcome);
+        log.ended(this, outcome);
     }
 }
--- /dev/null
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/ExchangeLog.java
@@ -0,0 +1,70 @@
+package org.mangowall.edge.traffic;
+
+import java.io.IOException;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import org.mangowall.edge.decision.PlacementDecision;
+import org.mangowall.edge.model.RouteTable;
+
+/** The log lines of a request under way; {@code docs/OPERATIONS.md} lists them. */
+final class ExchangeLog {
+
+    private final EdgeContext context;
+
+    ExchangeLog(EdgeContext context) {
+        this.context = context;
+    }
+
+    private static void writeRequest(JsonGenerator line, Exchange exchange) throws IOException {
+        line.writeStringField("request", exchange.identifier());
+        line.writeStringField("route", exchange.routeName());
+        line.writeStringField("workspace", exchange.workspace().orElse(""));
+    }
+
+    private long configurationVersion() {
+        return context.table().map(RouteTable::version).orElse(0L);
+    }
+
+    void turnedAway(Exchange exchange, PlacementDecision.Refuse refusal) {
+        context.log().write("turned-away", line -> {
+            writeRequest(line, exchange);
+            line.writeStringField("code", refusal.code().code());
+            line.writeNumberField("predictedMillis", Math.round(refusal.predictedMillis()));
+            line.writeNumberField("shareLoad", refusal.shareLoad());
+            line.writeNumberField("runners", context.fleet().runnerCount());
+            line.writeNumberField("configuration", configurationVersion());
+            line.writeNumberField("offers", exchange.offers());
+        });
+    }
+
+    void placed(Exchange exchange, PlacementDecision.Send decision) {
+        context.log().write("placed", line -> {
+            writeRequest(line, exchange);
+            line.writeStringField("runner", decision.runner().identifier());
+            line.writeNumberField("predictedMillis", Math.round(decision.predictedMillis()));
+            line.writeNumberField("unreadTokens", decision.unreadTokens());
+            line.writeNumberField("waitedTokens", decision.waitedTokens());
+            line.writeNumberField("configuration", configurationVersion());
+            line.writeNumberField("offers", exchange.offers());
+        });
+    }
+
+    void trouble(Exchange exchange, String event, RunnerAttempt tried, String reason) {
+        context.log().write(event, line -> {
+            writeRequest(line, exchange);
+            line.writeStringField("runner", tried.runner().identifier());
+            line.writeStringField("reason", reason);
+            line.writeNumberField("runs", exchange.runs());
+            line.writeNumberField("elapsedMillis", Math.round(exchange.elapsedMillis()));
+        });
+    }
+
+    void ended(Exchange exchange, String outcome) {
+        context.log().write("ended", line -> {
+            writeRequest(line, exchange);
+            line.writeStringField("outcome", outcome);
+            line.writeNumberField("runs", exchange.runs());
+            line.writeNumberField("elapsedMillis", Math.round(exchange.elapsedMillis()));
+        });
+    }
+}
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerAttempt.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerAttempt.java
@@ -77,7 +77,7 @@
         connection = ready;
         sentAt = context.now();
         connection.send(exchange.headFor(this), exchange.body(), exchange.identifier(), this);
-        watchSilence(exchange.silenceMillis(decision));
+        watchSilence(Silence.beforeAnswerMillis(exchange.route(), decision));
     }
 
     private void dropBeforeSending(String reason, boolean isUnreachable) {
@@ -183,7 +183,7 @@
             hold(bytes);
             return;
         }
-        watchSilence(exchange.gapMillis());
+        watchSilence(Silence.betweenPartsMillis(exchange.route()));
         if (splitter == null) {
             exchange.relay(this, head, bytes.retainedDuplicate());
             return;
