Leave out what no decision uses

The load that runners report with answers and the mark of repeats were decoded but decided nothing; the hosts' own news tells more.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/PlacementRequest.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/PlacementRequest.java
@@ -15,7 +15,6 @@
  * @param prompt the prompt, for a model engine
  * @param zone the availability zone of this host
  * @param excluded runners that must not be used, by identifier
- * @param isRepeat whether it was sent to a runner before
  * @param elapsedMillis how long the caller has waited
  * @param leftMillis how long the caller still waits
  * @param draw a number from 0 to 1, drawn for this decision
@@ -27,7 +26,6 @@
         Optional<PromptDescription> prompt,
         String zone,
         Set<String> excluded,
-        boolean isRepeat,
         double elapsedMillis,
         double leftMillis,
         double draw) {}
--- a/mangowall-edge/src/main/java/org/mangowall/edge/model/RunnerAnswer.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/model/RunnerAnswer.java
@@ -11,7 +11,6 @@
  * @param isSigned whether it bears the runner's signature
  * @param isNotRun whether the runner says that it has not run the request
  * @param isOtherRunner whether another runner has the address now
- * @param load the runner's load
  * @param coldLeft how much longer the runner is cold
  * @param idleTime how long the runner keeps an unused connection
  * @param isLastOfConnection whether the runner closes the connection after this answer
@@ -22,7 +21,6 @@
         boolean isSigned,
         boolean isNotRun,
         boolean isOtherRunner,
-        Optional<RunnerLoad> load,
         Optional<Duration> coldLeft,
         Optional<Duration> idleTime,
         boolean isLastOfConnection) {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
@@ -133,7 +133,6 @@
                 request.prompt(),
                 context.zone(),
                 excluded,
-                runs > 0,
                 elapsedMillis(),
                 leftMillis(),
                 context.draw());
