Shrink what a workspace may wait the more it takes, and tell a quiet store from one that is away

The log shows both over what they are owed (share loads 1.9 to 3.5 against 4.3 to 9.1) and refused at the same predictions (117 to 212 ms): above 1.5 times the share all were treated alike, and the one whose prompts are kept passed. They judged whether the store had been away by revisions, which stand still while nothing changes. Ruled out: late relaying (the news arrived at once, the roster held it back); a contested mark, set when a workspace within its share is refused (it would not have fired here: both were over it). Change: the part of the goal shrinks with the square root of the surplus; pulses tell how long ago the store answered.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/Admission.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/Admission.java
@@ -8,9 +8,9 @@
 
     /** The part of the goal that a prediction may use up; the rest covers its error and the way to the caller. */
     private static final double GOAL_SHARE = 0.85;
-    /** What workspaces that take much more than their share may use of the goal. */
-    private static final double OVER_SHARE_GOAL_SHARE = 0.45;
-    /** At this multiple of what it is owed, a workspace may use only that. */
+    /** How fast that part shrinks with what a workspace takes beyond what it is owed. */
+    private static final double SURPLUS_EXPONENT = 0.5;
+    /** Up to this multiple of what others like it get, a workspace is not cut further. */
     private static final double OVER_SHARE = 1.5;
     /** From this multiple of what others like it get, a workspace gets only places for which nobody waits. */
     private static final double FAR_OVER_SHARE = 2.5;
@@ -53,8 +53,7 @@
     }
 
     private static double goalShareAbove(ShareLoad load) {
-        double over = Math.clamp((load.ofRated() - 1) / (OVER_SHARE - 1), 0, 1);
-        double owed = GOAL_SHARE - (GOAL_SHARE - OVER_SHARE_GOAL_SHARE) * over;
+        double owed = GOAL_SHARE * Math.pow(load.ofRated(), -SURPLUS_EXPONENT);
         double farOver = Math.clamp((load.ofTaken() - OVER_SHARE) / (FAR_OVER_SHARE - OVER_SHARE), 0, 1);
         return owed * (1 - farOver);
     }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/mirror/StoreContact.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/mirror/StoreContact.java
@@ -14,12 +14,14 @@
     private static final long SILENT_NANOS = 4_000_000_000L;
 
     private long lastAnswerAt;
+    private long lastOwnAnswerAt;
     private long regainedAt = Long.MIN_VALUE;
     private boolean isLost;
 
     /** Starts as if an answer had just come. */
     public StoreContact(long now) {
         this.lastAnswerAt = now;
+        this.lastOwnAnswerAt = now;
     }
 
     /**
@@ -29,21 +31,30 @@
      */
     public boolean answered(long now) {
         answeredAny(now);
+        lastOwnAnswerAt = now;
         boolean wasLost = isLost;
         isLost = false;
         return wasLost;
     }
 
-    /** Another host's knowledge of the store grew. */
-    public void answeredOther(long now) {
-        answeredAny(now);
+    /** The store answered another host. */
+    public void answeredOther(long at) {
+        answeredAny(at);
     }
 
-    private void answeredAny(long now) {
-        if (isAway(now)) {
-            regainedAt = now;
+    private void answeredAny(long at) {
+        if (at <= lastAnswerAt) {
+            return;
+        }
+        if (isAway(at)) {
+            regainedAt = at;
         }
-        lastAnswerAt = now;
+        lastAnswerAt = at;
+    }
+
+    /** When the store last answered this host. */
+    public long lastOwnAnswerAt() {
+        return lastOwnAnswerAt;
     }
 
     /**
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerCodec.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerCodec.java
@@ -68,6 +68,7 @@
         packer.packInt(PULSE);
         packer.packBoolean(pulse.isReady());
         packer.packBoolean(pulse.hasStore());
+        packer.packLong(pulse.storeAnswerAgeMillis());
         for (ObjectKind kind : ObjectKind.values()) {
             packer.packLong(pulse.completeTo().getOrDefault(kind, 0L));
         }
@@ -165,6 +166,7 @@
     private static PeerNews unpackPulse(MessageUnpacker unpacker) throws IOException {
         boolean isReady = unpacker.unpackBoolean();
         boolean hasStore = unpacker.unpackBoolean();
+        long storeAnswerAgeMillis = unpacker.unpackLong();
         Map<ObjectKind, Long> completeTo = new EnumMap<>(ObjectKind.class);
         for (ObjectKind kind : ObjectKind.values()) {
             completeTo.put(kind, unpacker.unpackLong());
@@ -174,7 +176,7 @@
         for (int index = 0; index < count; index++) {
             events.add(unpackEvent(unpacker));
         }
-        return new PeerNews.Pulse(isReady, hasStore, completeTo, events);
+        return new PeerNews.Pulse(isReady, hasStore, storeAnswerAgeMillis, completeTo, events);
     }
 
     private static LoadEvent unpackEvent(MessageUnpacker unpacker) throws IOException {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
@@ -288,7 +288,8 @@
         for (ObjectKind kind : ObjectKind.values()) {
             completeTo.put(kind, mirror.completeTo(kind));
         }
-        return new PeerNews.Pulse(isReady.getAsBoolean(), !contact.isLost(), completeTo, events);
+        long ownAnswerAge = TimeUnit.NANOSECONDS.toMillis(nanos.getAsLong() - contact.lastOwnAnswerAt());
+        return new PeerNews.Pulse(isReady.getAsBoolean(), !contact.isLost(), ownAnswerAge, completeTo, events);
     }
 
     @Override
@@ -340,9 +341,8 @@
         peer.noteHeard(now);
         peer.setCounted(true);
         peer.setReady(pulse.isReady());
-        if (peer.noteKnowledge(pulse.completeTo())) {
-            contact.answeredOther(now);
-        }
+        peer.setCompleteTo(pulse.completeTo());
+        contact.answeredOther(now - TimeUnit.MILLISECONDS.toNanos(pulse.storeAnswerAgeMillis()));
         pulse.events().forEach(event -> fleet.apply(peer.host().name(), event, now));
         peer.setHasStore(pulse.hasStore());
     }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerNews.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerNews.java
@@ -25,10 +25,16 @@
      *
      * @param isReady whether it takes requests
      * @param hasStore whether the platform's store answers it, as far as it knows
+     * @param storeAnswerAgeMillis how long ago the store last answered it
      * @param completeTo up to which revision it knows each kind of object
      * @param events its work at runners
      */
-    record Pulse(boolean isReady, boolean hasStore, Map<ObjectKind, Long> completeTo, List<LoadEvent> events)
+    record Pulse(
+            boolean isReady,
+            boolean hasStore,
+            long storeAnswerAgeMillis,
+            Map<ObjectKind, Long> completeTo,
+            List<LoadEvent> events)
             implements PeerNews {}
 
     /**
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerState.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerState.java
@@ -23,7 +23,6 @@
     private long nextDialAt;
     private long dialPauseNanos;
     private long toldObjectsAt;
-    private long knowledge;
 
     PeerState(HostRecord host) {
         this.host = host;
@@ -118,13 +117,8 @@
         return dialPauseNanos;
     }
 
-    /** Takes up to which revisions it knows the store; tells whether that is more than before. */
-    boolean noteKnowledge(Map<ObjectKind, Long> newCompleteTo) {
+    void setCompleteTo(Map<ObjectKind, Long> newCompleteTo) {
         completeTo = newCompleteTo;
-        long sum = completeTo.values().stream().mapToLong(Long::longValue).sum();
-        boolean isMore = knowledge != 0 && sum > knowledge;
-        knowledge = sum;
-        return isMore;
     }
 
     /** Up to which revisions it knows the store. */
--- a/mangowall-edge/src/test/java/org/mangowall/edge/decision/PlacementLoadTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/decision/PlacementLoadTest.java
@@ -43,6 +43,22 @@
         }
     }
 
+    /** Both take more than they are owed, one of them many times as much, and its prompts are kept. */
+    @Test
+    void theLargerSurplusYieldsFirst() {
+        EngineSimulation simulation = new EngineSimulation(ENGINES, TOKENS_PER_SECOND, 5);
+        simulation.load("reads", 100, 0, 12, random -> Fixtures.prompt(6_600, 60, random.nextLong()));
+        simulation.load("kept", 900, 0, 12, random -> {
+            long subject = random.nextInt(20);
+            return Fixtures.prompt(6_600, 60, subject, 100 + subject, 200 + subject, 300 + subject);
+        });
+        simulation.play();
+        long reads = simulation.tally("reads").servedTokens();
+        long kept = simulation.tally("kept").servedTokens();
+        long owed = Math.min(simulation.tally("reads").askedTokens(), kept);
+        assertTrue(reads * 2 >= owed, "reads " + reads + " of " + owed + ", kept " + kept);
+    }
+
     /** More comes than the engines bear: what is let in is answered in time, the rest is told at once. */
     @Test
     void overloadIsTurnedAwayAndTheRestIsInTime() {
--- a/mangowall-edge/src/test/java/org/mangowall/edge/mirror/RunnerRosterTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/mirror/RunnerRosterTest.java
@@ -72,6 +72,26 @@
         assertEquals(List.of("r"), removed);
     }
 
+    /** Nothing changes in the store for long, and this host hears of it from the others only. */
+    @Test
+    void aRunnerThatLeavesAfterAQuietTimeIsGoneAtOnce() {
+        for (long second = 1; second <= 20; second++) {
+            contact.answeredOther(second * SECOND);
+        }
+        roster.unlisted("r", 20 * SECOND + SECOND / 2);
+        assertEquals(List.of("r"), removed);
+    }
+
+    /** News of an old answer, heard late, doesn't look like a return. */
+    @Test
+    void anOldAnswerOfAnotherHostIsNoReturn() {
+        contact.failed();
+        contact.answered(5 * SECOND);
+        long regained = contact.sinceRegained(9 * SECOND);
+        contact.answeredOther(3 * SECOND);
+        assertEquals(regained, contact.sinceRegained(9 * SECOND));
+    }
+
     /** Watches of an idle store take seconds by themselves; that is no outage. */
     @Test
     void aQuietStoreIsNotAway() {
--- a/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerCodecTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerCodecTest.java
@@ -34,6 +34,7 @@
         assertUnchanged(new PeerNews.Pulse(
                 true,
                 false,
+                1_234,
                 Map.of(
                         ObjectKind.CONFIGURATION, 1L,
                         ObjectKind.RUNNER, 2L,
