--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/DecayingRate.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/DecayingRate.java
@@ -3,6 +3,7 @@
 /** A share of bad outcomes in which old outcomes fade with time. */
 final class DecayingRate {
 
+    /** So many good outcomes are assumed before the first: one failure alone says little. */
     private static final double PRIOR_OUTCOMES = 4;
 
     private final double halfLifeNanos;
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/Placement.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/Placement.java
@@ -37,6 +37,9 @@
     /** The part of an engine's memory that running requests may take. */
     private static final double RUNNING_SHARE_OF_MEMORY = 0.9;
 
+    /** When a service without a usable runner is looked at again: about the time of a restart. */
+    private static final double NO_RUNNER_RETRY_MILLIS = 500;
+
     private final FleetLoad fleet;
     private final Admission admission;
 
@@ -93,9 +96,6 @@
                 isEmpty ? FailureCode.NO_RUNNER : FailureCode.RUNNERS_BUSY, NO_RUNNER_RETRY_MILLIS, 0, 0);
     }
 
-    /** When a service without a usable runner is looked at again: about the time of a restart. */
-    private static final double NO_RUNNER_RETRY_MILLIS = 500;
-
     private Optional<RunnerState> bestHolder(ServiceState service, PromptDescription prompt, long now) {
         RunnerState best = null;
         int most = 0;
--- a/mangowall-edge/src/main/java/org/mangowall/edge/log/DecisionLog.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/log/DecisionLog.java
@@ -28,6 +28,8 @@
 
     private static final long WRITE_PAUSE_NANOS = 200_000_000L;
     private static final int LINE_BYTES = 256;
+    /** How long the end of the process waits for the last lines. */
+    private static final long CLOSE_MILLIS = 500;
 
     private final JsonFactory json = new JsonFactory();
     private final BlockingQueue<byte[]> ring = new ArrayBlockingQueue<>(RING_LINES);
@@ -116,6 +118,4 @@
             Thread.currentThread().interrupt();
         }
     }
-
-    private static final long CLOSE_MILLIS = 500;
 }
