Send news between hosts of a large fleet through relays

Ruled out: longer gathering alone, which made decisions stale (700 ms) and left the acknowledgements, two thirds of the messages. Change: above 20 hosts one host in 16, larger ones first, relays reports for the rest, each of which has two relays; reports carry a sequence number and travel encoded; all running work is told again every 2 s in place of what was lost; the directory names hosts by size. What a runner keeps, heard before the runner is listed, is no longer dropped.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/ColdPace.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/ColdPace.java
@@ -45,21 +45,13 @@
         if (hosts.size() <= KEEPERS) {
             return true;
         }
-        long own = weight(runner, self);
+        long own = Rendezvous.weight(runner, self);
         int ahead = 0;
         for (String host : hosts) {
-            if (!host.equals(self) && weight(runner, host) > own) {
+            if (!host.equals(self) && Rendezvous.weight(runner, host) > own) {
                 ahead += 1;
             }
         }
         return ahead < KEEPERS;
     }
-
-    /** Rendezvous weight of a host for a runner. */
-    private static long weight(String runner, String host) {
-        long mixed = (long) runner.hashCode() * 0x9E3779B97F4A7C15L + host.hashCode();
-        mixed = (mixed ^ (mixed >>> 30)) * 0xBF58476D1CE4E5B9L;
-        mixed = (mixed ^ (mixed >>> 27)) * 0x94D049BB133111EBL;
-        return mixed ^ (mixed >>> 31);
-    }
 }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
@@ -191,9 +191,7 @@
                 RunnerState runner = runners.get(sent.runner());
                 if (runner != null) {
                     end(works.remove(sent.number()));
-                    Work work = new Work(sent, runner, now);
-                    works.put(sent.number(), work);
-                    runner.begin(work);
+                    begin(works, new Work(sent, runner, now));
                     runner.coldPace().recordSent(hosts.size(), coldRate(runner), now);
                 }
             }
@@ -205,11 +203,7 @@
                 }
             }
             case LoadEvent.Ended ended -> end(works.remove(ended.number()));
-            case LoadEvent.Kept kept ->
-                runnerState(kept.runner()).ifPresent(runner -> {
-                    runner.cache().reading(kept.parts());
-                    runner.cache().read(kept.parts());
-                });
+            case LoadEvent.Kept kept -> noteKept(kept);
             case LoadEvent.Unreachable unreachable -> {
                 RunnerState runner = runners.get(unreachable.runner());
                 if (runner != null && !host.equals(self)) {
@@ -219,6 +213,38 @@
         }
     }
 
+    /**
+     * Takes all work of another host that has not ended, in place of what was believed; repairs what was lost on the
+     * way.
+     */
+    public void restate(String host, List<LoadEvent> running, long now) {
+        Map<Long, Work> works = workByHost.computeIfAbsent(host, name -> new HashMap<>());
+        Set<Long> numbers = new HashSet<>();
+        for (LoadEvent event : running) {
+            if (event instanceof LoadEvent.Sent sent) {
+                numbers.add(sent.number());
+                RunnerState runner = runners.get(sent.runner());
+                if (runner != null && !works.containsKey(sent.number())) {
+                    begin(works, new Work(sent, runner, now));
+                }
+            } else {
+                apply(host, event, now);
+            }
+        }
+        works.entrySet().removeIf(entry -> {
+            boolean hasEnded = !numbers.contains(entry.getKey());
+            if (hasEnded) {
+                end(entry.getValue());
+            }
+            return hasEnded;
+        });
+    }
+
+    private static void begin(Map<Long, Work> works, Work work) {
+        works.put(work.sent().number(), work);
+        work.runner().begin(work);
+    }
+
     private void noteKept(LoadEvent.Kept kept) {
         RunnerState runner = runners.get(kept.runner());
         if (runner == null) {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/model/HostRecord.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/model/HostRecord.java
@@ -8,5 +8,7 @@
  * @param peerAddress where other hosts reach it, IP:PORT
  * @param callerAddress where callers reach it, IP:PORT
  * @param zone its availability zone
+ * @param processors what its processor bears, in processors of the usual speed
  */
-public record HostRecord(String name, long incarnation, String peerAddress, String callerAddress, String zone) {}
+public record HostRecord(
+        String name, long incarnation, String peerAddress, String callerAddress, String zone, double processors) {}
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerCodec.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerCodec.java
@@ -23,9 +23,10 @@
 final class PeerCodec {
 
     private static final int HELLO = 1;
-    private static final int PULSE = 2;
+    private static final int BUNDLE = 2;
     private static final int OBJECTS = 3;
     private static final int HEARD = 4;
+    private static final int PARTS = 5;
     private static final int SENT = 1;
     private static final int BEGAN = 2;
     private static final int ENDED = 3;
@@ -40,13 +41,19 @@
                 case PeerNews.Hello hello -> {
                     packer.packInt(HELLO);
                     packHost(packer, hello.sender());
+                    packer.packBoolean(hello.isRelay());
+                    packer.packBoolean(hello.isChosen());
                     packer.packBoolean(hello.wantsParts());
                     packer.packArrayHeader(hello.known().size());
                     for (HostRecord host : hello.known()) {
                         packHost(packer, host);
                     }
                 }
-                case PeerNews.Pulse pulse -> packPulse(packer, pulse);
+                case PeerNews.Bundle bundle -> packBundle(packer, bundle);
+                case PeerNews.Parts parts -> {
+                    packer.packInt(PARTS);
+                    packEvents(packer, parts.kept());
+                }
                 case PeerNews.Objects objects -> packObjects(packer, objects);
                 case PeerNews.Heard heard -> packer.packInt(HEARD);
             }
@@ -62,18 +69,43 @@
         packer.packString(host.peerAddress());
         packer.packString(host.callerAddress());
         packer.packString(host.zone());
+        packer.packDouble(host.processors());
     }
 
-    private static void packPulse(MessageBufferPacker packer, PeerNews.Pulse pulse) throws IOException {
-        packer.packInt(PULSE);
-        packer.packBoolean(pulse.isReady());
-        packer.packBoolean(pulse.hasStore());
-        packer.packLong(pulse.storeAnswerAgeMillis());
-        for (ObjectKind kind : ObjectKind.values()) {
-            packer.packLong(pulse.completeTo().getOrDefault(kind, 0L));
+    private static void packBundle(MessageBufferPacker packer, PeerNews.Bundle bundle) throws IOException {
+        packer.packInt(BUNDLE);
+        packer.packArrayHeader(bundle.reports().size());
+        for (HostReport report : bundle.reports()) {
+            packer.packString(report.host());
+            packer.packLong(report.incarnation());
+            packer.packLong(report.sequence());
+            packer.packBinaryHeader(report.state().length);
+            packer.writePayload(report.state());
         }
-        packer.packArrayHeader(pulse.events().size());
-        for (LoadEvent event : pulse.events()) {
+    }
+
+    static byte[] encode(HostState state) {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packer.packBoolean(state.isReady());
+            packer.packBoolean(state.hasStore());
+            packer.packLong(state.storeAnswerAgeMillis());
+            for (ObjectKind kind : ObjectKind.values()) {
+                packer.packLong(state.completeTo().getOrDefault(kind, 0L));
+            }
+            packer.packBoolean(state.record().isPresent());
+            if (state.record().isPresent()) {
+                packHost(packer, state.record().get());
+            }
+            packEvents(packer, state.events());
+            return packer.toByteArray();
+        } catch (IOException failure) {
+            throw new MangowallException(FailureCode.INTERNAL, "the state of a host can't be written", failure);
+        }
+    }
+
+    private static void packEvents(MessageBufferPacker packer, List<LoadEvent> events) throws IOException {
+        packer.packArrayHeader(events.size());
+        for (LoadEvent event : events) {
             packEvent(packer, event);
         }
     }
@@ -132,8 +164,15 @@
         try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
             int type = unpacker.unpackInt();
             return switch (type) {
-                case HELLO -> new PeerNews.Hello(unpackHost(unpacker), unpacker.unpackBoolean(), unpackHosts(unpacker));
-                case PULSE -> unpackPulse(unpacker);
+                case HELLO ->
+                    new PeerNews.Hello(
+                            unpackHost(unpacker),
+                            unpacker.unpackBoolean(),
+                            unpacker.unpackBoolean(),
+                            unpacker.unpackBoolean(),
+                            unpackHosts(unpacker));
+                case BUNDLE -> unpackBundle(unpacker);
+                case PARTS -> new PeerNews.Parts(unpackEvents(unpacker));
                 case OBJECTS -> unpackObjects(unpacker);
                 case HEARD -> new PeerNews.Heard();
                 default ->
@@ -151,7 +190,8 @@
                 unpacker.unpackLong(),
                 unpacker.unpackString(),
                 unpacker.unpackString(),
-                unpacker.unpackString());
+                unpacker.unpackString(),
+                unpacker.unpackDouble());
     }
 
     private static List<HostRecord> unpackHosts(MessageUnpacker unpacker) throws IOException {
@@ -163,20 +203,48 @@
         return hosts;
     }
 
-    private static PeerNews unpackPulse(MessageUnpacker unpacker) throws IOException {
-        boolean isReady = unpacker.unpackBoolean();
-        boolean hasStore = unpacker.unpackBoolean();
-        long storeAnswerAgeMillis = unpacker.unpackLong();
-        Map<ObjectKind, Long> completeTo = new EnumMap<>(ObjectKind.class);
-        for (ObjectKind kind : ObjectKind.values()) {
-            completeTo.put(kind, unpacker.unpackLong());
+    private static PeerNews unpackBundle(MessageUnpacker unpacker) throws IOException {
+        int count = unpacker.unpackArrayHeader();
+        List<HostReport> reports = new ArrayList<>();
+        for (int index = 0; index < count; index++) {
+            reports.add(new HostReport(
+                    unpacker.unpackString(),
+                    unpacker.unpackLong(),
+                    unpacker.unpackLong(),
+                    unpacker.readPayload(unpacker.unpackBinaryHeader())));
+        }
+        return new PeerNews.Bundle(reports);
+    }
+
+    /**
+     * Decodes the state of a host.
+     *
+     * @throws MangowallException with {@code FRAME_INVALID} when it can't be read
+     */
+    static HostState decodeState(byte[] bytes) {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+            boolean isReady = unpacker.unpackBoolean();
+            boolean hasStore = unpacker.unpackBoolean();
+            long storeAnswerAgeMillis = unpacker.unpackLong();
+            Map<ObjectKind, Long> completeTo = new EnumMap<>(ObjectKind.class);
+            for (ObjectKind kind : ObjectKind.values()) {
+                completeTo.put(kind, unpacker.unpackLong());
+            }
+            Optional<HostRecord> record =
+                    unpacker.unpackBoolean() ? Optional.of(unpackHost(unpacker)) : Optional.empty();
+            return new HostState(isReady, hasStore, storeAnswerAgeMillis, completeTo, record, unpackEvents(unpacker));
+        } catch (IOException | MessagePackException | IllegalArgumentException failure) {
+            throw new MangowallException(FailureCode.FRAME_INVALID, "the state of a host can't be read", failure);
         }
+    }
+
+    private static List<LoadEvent> unpackEvents(MessageUnpacker unpacker) throws IOException {
         int count = unpacker.unpackArrayHeader();
         List<LoadEvent> events = new ArrayList<>();
         for (int index = 0; index < count; index++) {
             events.add(unpackEvent(unpacker));
         }
-        return new PeerNews.Pulse(isReady, hasStore, storeAnswerAgeMillis, completeTo, events);
+        return events;
     }
 
     private static LoadEvent unpackEvent(MessageUnpacker unpacker) throws IOException {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
@@ -7,9 +7,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
+import java.util.stream.Stream;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -30,35 +32,30 @@
 import org.mangowall.inventory.checked.UnitSyntax;
 
 /**
- * Connections to all other hosts.
+ * Connections to other hosts: to all of them in a small fleet, to some in a large one, as {@link RelayPlan} says.
  *
  * <p>Each host speaks on the connections that it opens and listens on those that others open, so a path that works one
  * way only shows. Used on the network thread alone.
  */
 public final class PeerMesh implements LoadNews, PeerChannel.Receiver {
 
-    /** A host that was not heard for so long is not named to callers. */
-    private static final long SILENT_NANOS = 1_600_000_000L;
-    /** The work of a host that was not heard for so long has ended with its connections. */
-    private static final long GONE_NANOS = 3_000_000_000L;
     /** A connection on which nothing is answered for so long is replaced. */
     private static final long UNANSWERED_NANOS = 1_800_000_000L;
-    /** How long news waits for more of it, for each host that gets it. */
+    /** How long news waits for more of it, for each host of the fleet. */
     private static final long GATHER_NANOS_PER_HOST = 5_000_000L;
 
     private static final long LEAST_GATHER_NANOS = 40_000_000L;
-    private static final long MOST_GATHER_NANOS = 700_000_000L;
-    /** Above this size, news waits longer in proportion, since all hosts hear of all. */
-    private static final double MIDDLE_FLEET_HOSTS = 20;
+    /** News passes up to two relays, and should arrive while it still decides something. */
+    private static final long MOST_GATHER_NANOS = 100_000_000L;
 
     private static final long HEARTBEAT_NANOS = 250_000_000L;
     private static final long TICK_MILLIS = 20;
+    private static final long PLAN_NANOS = 100_000_000L;
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
-    private static final long FIRST_DIAL_PAUSE_NANOS = 100_000_000L;
-    private static final long MOST_DIAL_PAUSE_NANOS = 1_000_000_000L;
-
     /** How often a host that is heard is told so. */
     private static final long ACKNOWLEDGE_NANOS = 400_000_000L;
+    /** How often all of this host's work is told, to repair what was lost on the way. */
+    private static final long RESTATE_NANOS = 2_000_000_000L;
 
     /** A host that starts asks so many others what the runners keep; one of them may have just started as well. */
     private static final int PARTS_FROM_HOSTS = 2;
@@ -74,10 +71,15 @@
     private final LongSupplier nanos;
     private final BooleanSupplier isReady;
     private final StoreDuty duty;
-    private final Map<String, PeerState> peers = new HashMap<>();
+    private final Membership membership;
+    private final NewsBoard board = new NewsBoard();
     private final Map<String, PeerState> seeds = new HashMap<>();
+    private RelayPlan plan = new RelayPlan(true, Set.of());
     private List<LoadEvent> pending = new ArrayList<>();
+    private long sequence;
+    private long plannedAt;
     private long toldAt;
+    private long restatedAt;
     private long acknowledgedAt;
     private boolean hasUrgentNews;
     private int partsAsked;
@@ -102,14 +104,16 @@
         this.fleet = fleet;
         this.mirror = mirror;
         this.contact = contact;
-        this.duty = new StoreDuty(self.name(), mirror, contact);
+        this.duty = new StoreDuty(self, mirror, contact);
+        this.membership = new Membership(self, fleet, contact, log);
         this.log = log;
         this.loop = loop;
         this.nanos = nanos;
         this.isReady = isReady;
+        this.plannedAt = nanos.getAsLong() - PLAN_NANOS;
         for (String address : seedAddresses) {
             if (!address.equals(self.peerAddress())) {
-                seeds.put(address, new PeerState(new HostRecord("", 0, address, "", "")));
+                seeds.put(address, new PeerState(new HostRecord("", 0, address, "", "", 0)));
             }
         }
     }
@@ -126,118 +130,107 @@
 
     /** Takes a host that another source names. */
     public void found(HostRecord host) {
-        if (host.name().equals(self.name())) {
-            return;
-        }
-        PeerState known = peers.get(host.name());
-        if (known == null) {
-            peers.put(host.name(), new PeerState(host));
-            return;
-        }
-        if (host.incarnation() > known.host().incarnation() && known.inbound() == null) {
-            known.setHost(host);
-        }
+        membership.found(host);
     }
 
     @Override
     public void tell(LoadEvent event) {
-        if (!peers.isEmpty()) {
+        if (!membership.peers().isEmpty()) {
             pending.add(event);
         }
     }
 
-    /** Tells all hosts at once, for a change of this host's own state. */
+    /** Tells the others at once, for a change of this host's own state. */
     public void tellNow() {
         hasUrgentNews = true;
         tick();
     }
 
-    /** The callers' addresses of the other hosts that take requests, by zone. */
+    /** The other hosts that take requests. */
     public List<HostRecord> readyPeers() {
-        long now = nanos.getAsLong();
-        return peers.values().stream()
-                .filter(peer -> isAlive(peer, now) && peer.isReady())
+        return membership.alive(nanos.getAsLong()).stream()
+                .filter(PeerState::isReady)
                 .map(PeerState::host)
                 .toList();
     }
 
-    private static boolean isAlive(PeerState peer, long now) {
-        return peer.inbound() != null && now - peer.heardAt() < SILENT_NANOS;
+    /** Whether this host is one of those that ask the store for the others. */
+    public boolean isOnStoreDuty() {
+        long now = nanos.getAsLong();
+        return duty.isOnDuty(membership.alive(now), now);
     }
 
     private void tick() {
         long now = nanos.getAsLong();
-        forgetSilent(now);
-        seeds.values().forEach(seed -> dialIfNeeded(seed, now));
-        peers.values().forEach(peer -> dialIfNeeded(peer, now));
+        membership.forgetSilent(now);
+        if (now - plannedAt >= PLAN_NANOS) {
+            plannedAt = now;
+            makePlan(now);
+        }
+        connect(now);
         if (duty.isDue(now)) {
             boolean isOnDuty = isOnStoreDuty();
-            peers.values().forEach(peer -> duty.tellMissing(peer, isOnDuty, now));
+            membership.peers().forEach(peer -> duty.tellMissing(peer, isOnDuty, now));
         }
-        long gather = gatherNanos(peers.size());
-        long due = pending.isEmpty() ? Math.max(gather, HEARTBEAT_NANOS) : gather;
+        long gather = gatherNanos(membership.peers().size());
+        long due = pending.isEmpty() && board.isEmpty() ? Math.max(gather, HEARTBEAT_NANOS) : gather;
         if (hasUrgentNews || now - toldAt >= due) {
             hasUrgentNews = false;
             toldAt = now;
-            pulse(now);
+            report(now);
         }
     }
 
     private static long gatherNanos(int hosts) {
-        double crowding = Math.max(1, hosts / MIDDLE_FLEET_HOSTS);
-        return Math.clamp((long) (GATHER_NANOS_PER_HOST * hosts * crowding), LEAST_GATHER_NANOS, MOST_GATHER_NANOS);
+        return Math.clamp(GATHER_NANOS_PER_HOST * hosts, LEAST_GATHER_NANOS, MOST_GATHER_NANOS);
     }
 
-    private void forgetSilent(long now) {
-        List<String> names = new ArrayList<>();
-        names.add(self.name());
-        for (PeerState peer : peers.values()) {
-            if (isAlive(peer, now) && peer.isReady()) {
-                names.add(peer.host().name());
-            }
-            if (peer.isCounted() && (peer.inbound() == null || now - peer.heardAt() > GONE_NANOS)) {
-                peer.setCounted(false);
-                fleet.dropHost(peer.host().name());
-                log.write(
-                        "host-lost",
-                        line -> line.writeStringField("peer", peer.host().name()));
+    private void makePlan(long now) {
+        List<HostRecord> candidates = membership.peers().stream()
+                .filter(peer -> peer.mayBeTried(now))
+                .map(PeerState::host)
+                .toList();
+        RelayPlan newPlan = RelayPlan.of(self, candidates);
+        boolean isNewRole = newPlan.isRelay() != plan.isRelay();
+        plan = newPlan;
+        if (isNewRole) {
+            log.write("relay", line -> {
+                line.writeBooleanField("isRelay", plan.isRelay());
+                line.writeNumberField("hosts", candidates.size() + 1L);
+            });
+        }
+        for (PeerState peer : membership.peers()) {
+            if (peer.outbound() != null && (isNewRole || peer.wasToldChosen() != isChosen(peer))) {
+                peer.setToldChosen(isChosen(peer));
+                peer.outbound().send(new PeerNews.Hello(self, plan.isRelay(), isChosen(peer), false, List.of()));
             }
         }
-        fleet.setHosts(names);
     }
 
-    private void pulse(long now) {
-        byte[] pulse = PeerCodec.encode(statePulse(pending));
-        pending = new ArrayList<>();
-        boolean acknowledges = now - acknowledgedAt >= ACKNOWLEDGE_NANOS;
-        acknowledgedAt = acknowledges ? now : acknowledgedAt;
-        for (PeerState peer : peers.values()) {
-            if (peer.outbound() != null && peer.outbound().isWritable()) {
-                peer.outbound().send(pulse);
-                if (peer.wantsParts()) {
-                    peer.setWantsParts(false);
-                    peer.outbound().send(statePulse(List.copyOf(fleet.keptParts())));
-                }
-            }
-            if (acknowledges && peer.inbound() != null && now - peer.heardAt() < HEARTBEAT_NANOS * 4) {
-                peer.inbound().send(HEARD);
-            }
+    private boolean isChosen(PeerState peer) {
+        return plan.contacts().contains(peer.host().name());
+    }
+
+    private void connect(long now) {
+        for (PeerState seed : seeds.values()) {
+            boolean isKnown = membership.peers().stream()
+                    .anyMatch(known -> known.isConnected()
+                            && known.host().peerAddress().equals(seed.host().peerAddress()));
+            keepConnected(seed, !isKnown, now);
+        }
+        for (PeerState peer : membership.peers()) {
+            keepConnected(peer, isChosen(peer) || peer.isChosenByPeer(), now);
         }
     }
 
-    private void dialIfNeeded(PeerState peer, long now) {
-        if (peer.outbound() != null && now - peer.answeredAt() > UNANSWERED_NANOS) {
-            peer.outbound().close();
-            peer.setOutbound(null, now);
+    private void keepConnected(PeerState peer, boolean isNeeded, long now) {
+        boolean isUnanswered = peer.outbound() != null && now - peer.answeredAt() > UNANSWERED_NANOS;
+        if (isUnanswered || peer.isLongUnneeded(isNeeded, now)) {
+            peer.closeOutbound();
         }
-        boolean isKnownSeed = peer.host().name().isEmpty()
-                && peers.values().stream()
-                        .anyMatch(known -> known.outbound() != null
-                                && known.host().peerAddress().equals(peer.host().peerAddress()));
-        if (peer.outbound() != null || peer.isDialing() || isKnownSeed || now < peer.nextDialAt()) {
-            return;
+        if (isNeeded && !peer.isDialing() && peer.outbound() == null && peer.mayBeTried(now)) {
+            dial(peer, now);
         }
-        dial(peer, now);
     }
 
     private void dial(PeerState peer, long now) {
@@ -245,9 +238,7 @@
         if (address.isEmpty()) {
             return;
         }
-        long pause = Math.clamp(peer.dialPauseNanos() * 2, FIRST_DIAL_PAUSE_NANOS, MOST_DIAL_PAUSE_NANOS);
-        peer.setDialing(true);
-        peer.setNextDial(now + pause, pause);
+        peer.beginDialing(now);
         PeerChannel outbound = new PeerChannel(this);
         new Bootstrap()
                 .group(loop)
@@ -262,7 +253,7 @@
                 })
                 .connect(address.get().toSocketAddress())
                 .addListener(done -> {
-                    peer.setDialing(false);
+                    peer.endDialing();
                     if (done.isSuccess()) {
                         greet(peer, outbound);
                     }
@@ -271,25 +262,55 @@
 
     private void greet(PeerState peer, PeerChannel outbound) {
         long now = nanos.getAsLong();
-        peer.setOutbound(outbound, now);
-        peer.setNextDial(now, 0);
-        List<HostRecord> known = peers.values().stream()
-                .filter(other -> isAlive(other, now))
-                .map(PeerState::host)
-                .toList();
+        boolean isChosen = isChosen(peer) || peer.host().name().isEmpty();
+        peer.opened(outbound, isChosen, now);
+        List<HostRecord> known =
+                membership.alive(now).stream().map(PeerState::host).toList();
         boolean wantsParts = partsAsked < PARTS_FROM_HOSTS;
         partsAsked += wantsParts ? 1 : 0;
-        outbound.send(new PeerNews.Hello(self, wantsParts, known));
-        outbound.send(statePulse(fleet.ownWork()));
+        outbound.send(new PeerNews.Hello(self, plan.isRelay(), isChosen, wantsParts, known));
+        outbound.send(new PeerNews.Bundle(List.of(ownReport(Optional.of(self), fleet.ownWork(), now))));
     }
 
-    private PeerNews statePulse(List<LoadEvent> events) {
+    private HostReport ownReport(Optional<HostRecord> record, List<LoadEvent> events, long now) {
         Map<ObjectKind, Long> completeTo = new EnumMap<>(ObjectKind.class);
         for (ObjectKind kind : ObjectKind.values()) {
             completeTo.put(kind, mirror.completeTo(kind));
         }
-        long ownAnswerAge = TimeUnit.NANOSECONDS.toMillis(nanos.getAsLong() - contact.lastOwnAnswerAt());
-        return new PeerNews.Pulse(isReady.getAsBoolean(), !contact.isLost(), ownAnswerAge, completeTo, events);
+        HostState state = new HostState(
+                isReady.getAsBoolean(),
+                !contact.isLost(),
+                TimeUnit.NANOSECONDS.toMillis(now - contact.lastOwnAnswerAt()),
+                completeTo,
+                record,
+                events);
+        sequence += 1;
+        return new HostReport(self.name(), self.incarnation(), sequence, PeerCodec.encode(state));
+    }
+
+    private void report(long now) {
+        board.add(ownReport(Optional.empty(), pending, now));
+        pending = new ArrayList<>();
+        if (now - restatedAt >= RESTATE_NANOS) {
+            restatedAt = now;
+            board.add(ownReport(Optional.of(self), fleet.ownWork(), now));
+        }
+        boolean acknowledges = now - acknowledgedAt >= ACKNOWLEDGE_NANOS;
+        acknowledgedAt = acknowledges ? now : acknowledgedAt;
+        byte[] forRelays = PeerCodec.encode(board.forRelays());
+        byte[] forMembers = PeerCodec.encode(board.forMembers());
+        board.clear();
+        for (PeerState peer : membership.peers()) {
+            if (peer.outbound() != null && peer.outbound().isWritable()) {
+                peer.outbound().send(peer.isRelay() ? forRelays : forMembers);
+                if (peer.takeWantsParts()) {
+                    peer.outbound().send(new PeerNews.Parts(List.copyOf(fleet.keptParts())));
+                }
+            }
+            if (acknowledges && peer.inbound() != null && now - peer.inboundAt() < HEARTBEAT_NANOS * 4) {
+                peer.inbound().send(HEARD);
+            }
+        }
     }
 
     @Override
@@ -297,78 +318,54 @@
         long now = nanos.getAsLong();
         switch (news) {
             case PeerNews.Hello hello -> greeted(from, hello, now);
-            case PeerNews.Pulse pulse -> pulseReceived(from, pulse, now);
+            case PeerNews.Bundle bundle -> bundleReceived(from, bundle, now);
+            case PeerNews.Parts parts -> parts.kept().forEach(kept -> fleet.apply(self.name(), kept, now));
             case PeerNews.Objects objects -> mirror.change(objects.kind(), objects.objects(), objects.asOf());
             case PeerNews.Heard heard -> answered(from, now);
         }
     }
 
     private void greeted(PeerChannel from, PeerNews.Hello hello, long now) {
-        HostRecord sender = hello.sender();
-        if (sender.name().equals(self.name())) {
+        if (hello.sender().name().equals(self.name())) {
             from.close();
             return;
         }
-        PeerState peer = peers.computeIfAbsent(sender.name(), name -> new PeerState(sender));
-        boolean isNewStart = peer.host().incarnation() != sender.incarnation();
-        if (isNewStart && peer.outbound() != null) {
-            peer.outbound().close();
-            peer.setOutbound(null, now);
-        }
-        if (peer.inbound() != null) {
-            peer.inbound().close();
+        PeerState peer = membership.greeted(hello.sender(), now);
+        boolean isFirst = peer.inbound() != from;
+        peer.greeted(from, hello);
+        peer.noteInbound(now);
+        hello.known().forEach(membership::found);
+        if (isFirst) {
+            from.send(HEARD);
         }
-        fleet.dropHost(sender.name());
-        peer.setHost(sender);
-        peer.setWantsParts(hello.wantsParts());
-        peer.setInbound(from, now);
-        peer.setCounted(true);
-        peer.setNextDial(now, 0);
-        log.write("host-heard", line -> {
-            line.writeStringField("peer", sender.name());
-            line.writeNumberField("incarnation", sender.incarnation());
-        });
-        hello.known().forEach(this::found);
-        from.send(new PeerNews.Heard());
     }
 
-    private void pulseReceived(PeerChannel from, PeerNews.Pulse pulse, long now) {
-        PeerState peer = inboundOf(from);
-        if (peer == null) {
+    private void bundleReceived(PeerChannel from, PeerNews.Bundle bundle, long now) {
+        PeerState sender = inboundOf(from);
+        if (sender == null) {
             from.close();
             return;
         }
-        peer.noteHeard(now);
-        peer.setCounted(true);
-        peer.setReady(pulse.isReady());
-        peer.setCompleteTo(pulse.completeTo());
-        contact.answeredOther(now - TimeUnit.MILLISECONDS.toNanos(pulse.storeAnswerAgeMillis()));
-        pulse.events().forEach(event -> fleet.apply(peer.host().name(), event, now));
-        peer.setHasStore(pulse.hasStore());
-    }
-
-    /** Whether this host is one of those that ask the store for the others. */
-    public boolean isOnStoreDuty() {
-        long now = nanos.getAsLong();
-        return duty.isOnDuty(
-                peers.values().stream().filter(peer -> isAlive(peer, now)).toList(), now);
-    }
-
-    private void answered(PeerChannel from, long now) {
-        for (PeerState peer : peers.values()) {
-            if (peer.outbound() == from) {
-                peer.noteAnswered(now);
+        sender.noteInbound(now);
+        for (HostReport report : bundle.reports()) {
+            boolean isDirect = report.host().equals(sender.host().name());
+            if (!membership.apply(report, isDirect, now)) {
+                continue;
             }
-        }
-        for (PeerState seed : seeds.values()) {
-            if (seed.outbound() == from) {
-                seed.noteAnswered(now);
+            if (sender.isRelay()) {
+                board.addFromRelay(report);
+            } else {
+                board.add(report);
             }
         }
     }
 
+    private void answered(PeerChannel from, long now) {
+        allStates().filter(peer -> peer.outbound() == from).forEach(peer -> peer.noteAnswered(now));
+    }
+
     private PeerState inboundOf(PeerChannel channel) {
-        for (PeerState peer : peers.values()) {
+        for (PeerState peer : membership.peers()) {
             if (peer.inbound() == channel) {
                 return peer;
             }
@@ -376,18 +373,13 @@
         return null;
     }
 
+    private Stream<PeerState> allStates() {
+        return Stream.concat(membership.peers().stream(), seeds.values().stream());
+    }
+
     @Override
     public void closed(PeerChannel gone) {
-        long now = nanos.getAsLong();
-        for (PeerState peer : peers.values()) {
-            if (peer.inbound() == gone) {
-                peer.setInbound(null, peer.heardAt());
-            }
-            if (peer.outbound() == gone) {
-                peer.setOutbound(null, now);
-            }
-        }
-        seeds.values().stream().filter(seed -> seed.outbound() == gone).forEach(seed -> seed.setOutbound(null, now));
+        allStates().forEach(peer -> peer.closed(gone));
     }
 
     @Override
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerNews.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerNews.java
@@ -1,7 +1,6 @@
 package org.mangowall.edge.peer;
 
 import java.util.List;
-import java.util.Map;
 
 import org.mangowall.edge.decision.LoadEvent;
 import org.mangowall.edge.model.HostRecord;
@@ -12,30 +11,30 @@
 sealed interface PeerNews {
 
     /**
-     * The first message of a connection.
+     * The first message of a connection, and again when it is no longer true.
      *
      * @param sender who speaks
+     * @param isRelay whether the sender passes on the news of others
+     * @param isChosen whether the sender needs this connection, and not only answers one that the receiver opened
      * @param wantsParts whether it has just started and doesn't know what the runners keep
      * @param known the other hosts that it knows
      */
-    record Hello(HostRecord sender, boolean wantsParts, List<HostRecord> known) implements PeerNews {}
+    record Hello(HostRecord sender, boolean isRelay, boolean isChosen, boolean wantsParts, List<HostRecord> known)
+            implements PeerNews {}
 
     /**
-     * The sender's state, and what happened since its last message.
+     * Reports of the sender and of hosts whose news it passes on.
      *
-     * @param isReady whether it takes requests
-     * @param hasStore whether the platform's store answers it, as far as it knows
-     * @param storeAnswerAgeMillis how long ago the store last answered it
-     * @param completeTo up to which revision it knows each kind of object
-     * @param events its work at runners
+     * @param reports in the order in which they were made
      */
-    record Pulse(
-            boolean isReady,
-            boolean hasStore,
-            long storeAnswerAgeMillis,
-            Map<ObjectKind, Long> completeTo,
-            List<LoadEvent> events)
-            implements PeerNews {}
+    record Bundle(List<HostReport> reports) implements PeerNews {}
+
+    /**
+     * What runners are believed to keep.
+     *
+     * @param kept one entry a runner
+     */
+    record Parts(List<LoadEvent> kept) implements PeerNews {}
 
     /**
      * What the sender knows of the store and the receiver doesn't.
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerState.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerState.java
@@ -5,24 +5,41 @@
 import org.mangowall.edge.model.HostRecord;
 import org.mangowall.edge.wire.ObjectKind;
 
-/** What this host knows of another: the connection over which it hears it, and the one over which it speaks. */
+/**
+ * What this host knows of another.
+ *
+ * <p>There may be a connection over which it hears the other, and one over which it speaks to it; hosts that have
+ * neither hear of each other through relays.
+ */
 final class PeerState {
 
+    private static final long FIRST_DIAL_PAUSE_NANOS = 100_000_000L;
+    private static final long MOST_DIAL_PAUSE_NANOS = 1_000_000_000L;
+    /** A connection that is no longer needed is kept so long: the plan may change back. */
+    private static final long UNNEEDED_NANOS = 3_000_000_000L;
+
     private HostRecord host;
     private PeerChannel inbound;
     private PeerChannel outbound;
     private boolean isReady;
     private boolean hasStore = true;
+    private boolean isRelay = true;
+    private boolean isChosenByPeer;
+    private boolean isThroughRelay;
     private Map<ObjectKind, Long> completeTo = Map.of();
+    private long lastSequence;
     private long lackingSince = Long.MAX_VALUE;
     private boolean isDialing;
     private boolean isCounted;
     private boolean wantsParts;
     private long heardAt;
+    private long inboundAt;
     private long answeredAt;
     private long nextDialAt;
     private long dialPauseNanos;
+    private long unneededSince = Long.MAX_VALUE;
     private long toldObjectsAt;
+    private boolean wasToldChosen;
 
     PeerState(HostRecord host) {
         this.host = host;
@@ -32,21 +49,64 @@
         return host;
     }
 
-    void setHost(HostRecord other) {
-        host = other;
+    /** A new start of its process is known. */
+    void restarted(HostRecord newStart) {
+        host = newStart;
+        lastSequence = 0;
+    }
+
+    /**
+     * Whether a report is newer than all that were taken, or of a later start. A start with a smaller number is later
+     * when the one before has been silent: its clock was set back.
+     */
+    boolean isNewer(HostReport report, boolean isSilent) {
+        if (report.incarnation() == host.incarnation()) {
+            return report.sequence() > lastSequence;
+        }
+        return report.incarnation() > host.incarnation() || isSilent;
+    }
+
+    /** Takes what it says of itself. */
+    void take(HostReport report, HostState state, boolean isDirect) {
+        lastSequence = report.sequence();
+        isThroughRelay = !isDirect;
+        isReady = state.isReady();
+        hasStore = state.hasStore();
+        completeTo = state.completeTo();
+    }
+
+    /** Takes the roles that it told on a connection. */
+    void greeted(PeerChannel from, PeerNews.Hello hello) {
+        if (inbound != null && inbound != from) {
+            inbound.close();
+        }
+        inbound = from;
+        isRelay = hello.isRelay();
+        isChosenByPeer = hello.isChosen();
+        wantsParts |= hello.wantsParts();
+    }
+
+    /** Whether news of it can arrive. */
+    boolean isConnected() {
+        return inbound != null || isThroughRelay;
     }
 
     PeerChannel inbound() {
         return inbound;
     }
 
-    void setInbound(PeerChannel channel, long now) {
-        inbound = channel;
+    /** News of it came, directly or through a relay. */
+    void noteHeard(long now) {
         heardAt = now;
     }
 
-    void noteHeard(long now) {
-        heardAt = now;
+    /** Something came on the connection over which it speaks. */
+    void noteInbound(long now) {
+        inboundAt = now;
+    }
+
+    long inboundAt() {
+        return inboundAt;
     }
 
     long heardAt() {
@@ -57,9 +117,30 @@
         return outbound;
     }
 
-    void setOutbound(PeerChannel channel, long now) {
+    void opened(PeerChannel channel, boolean isToldChosen, long now) {
         outbound = channel;
+        wasToldChosen = isToldChosen;
         answeredAt = now;
+        nextDialAt = now;
+        dialPauseNanos = 0;
+    }
+
+    void closeOutbound() {
+        if (outbound != null) {
+            outbound.close();
+            outbound = null;
+        }
+    }
+
+    /** A connection ended. */
+    void closed(PeerChannel gone) {
+        if (inbound == gone) {
+            inbound = null;
+            isChosenByPeer = false;
+        }
+        if (outbound == gone) {
+            outbound = null;
+        }
     }
 
     void noteAnswered(long now) {
@@ -74,51 +155,64 @@
         return isReady;
     }
 
-    void setReady(boolean ready) {
-        isReady = ready;
+    /** Whether it passes on the news of others. */
+    boolean isRelay() {
+        return isRelay;
     }
 
-    boolean isDialing() {
-        return isDialing;
+    /** Whether it opened its connection because it needs it. */
+    boolean isChosenByPeer() {
+        return isChosenByPeer;
     }
 
-    void setDialing(boolean dialing) {
-        isDialing = dialing;
+    /** Whether it was told last that this host needs the connection. */
+    boolean wasToldChosen() {
+        return wasToldChosen;
     }
 
-    /** Whether its work is part of the fleet's load. */
-    boolean isCounted() {
-        return isCounted;
+    void setToldChosen(boolean isChosen) {
+        wasToldChosen = isChosen;
     }
 
-    void setCounted(boolean counted) {
-        isCounted = counted;
+    /** Whether it may be tried now: it has not failed just before. */
+    boolean mayBeTried(long now) {
+        return outbound != null || isDialing || now >= nextDialAt;
+    }
+
+    boolean isDialing() {
+        return isDialing;
     }
 
-    /** Whether it asked what the runners keep, and wasn't told. */
-    boolean wantsParts() {
-        return wantsParts;
+    void beginDialing(long now) {
+        isDialing = true;
+        dialPauseNanos = Math.clamp(dialPauseNanos * 2, FIRST_DIAL_PAUSE_NANOS, MOST_DIAL_PAUSE_NANOS);
+        nextDialAt = now + dialPauseNanos;
     }
 
-    void setWantsParts(boolean wants) {
-        wantsParts = wants;
+    void endDialing() {
+        isDialing = false;
     }
 
-    long nextDialAt() {
-        return nextDialAt;
+    /** Whether its connection has not been needed for a while. */
+    boolean isLongUnneeded(boolean isNeeded, long now) {
+        unneededSince = isNeeded ? Long.MAX_VALUE : Math.min(unneededSince, now);
+        return !isNeeded && now - unneededSince > UNNEEDED_NANOS;
     }
 
-    void setNextDial(long at, long pauseNanos) {
-        nextDialAt = at;
-        dialPauseNanos = pauseNanos;
+    /** Whether its work is part of the fleet's load. */
+    boolean isCounted() {
+        return isCounted;
     }
 
-    long dialPauseNanos() {
-        return dialPauseNanos;
+    void setCounted(boolean counted) {
+        isCounted = counted;
     }
 
-    void setCompleteTo(Map<ObjectKind, Long> newCompleteTo) {
-        completeTo = newCompleteTo;
+    /** Whether it asked what the runners keep, and wasn't told; it is told once. */
+    boolean takeWantsParts() {
+        boolean wanted = wantsParts;
+        wantsParts = false;
+        return wanted;
     }
 
     /** Up to which revisions it knows the store. */
@@ -130,10 +224,6 @@
         return hasStore;
     }
 
-    void setHasStore(boolean has) {
-        hasStore = has;
-    }
-
     /** For how long it has lacked objects that this host knows. */
     long lackingFor(boolean isLacking, long now) {
         lackingSince = isLacking ? Math.min(lackingSince, now) : Long.MAX_VALUE;
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/StoreDuty.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/StoreDuty.java
@@ -6,6 +6,7 @@
 
 import org.mangowall.edge.mirror.StoreContact;
 import org.mangowall.edge.mirror.StoreMirror;
+import org.mangowall.edge.model.HostRecord;
 import org.mangowall.edge.wire.ObjectKind;
 import org.mangowall.edge.wire.StoredObject;
 
@@ -28,16 +29,14 @@
     private static final long COMPARE_NANOS = 200_000_000L;
     /** Between two tellings to the same host: the time that one takes to arrive. */
     private static final long TELL_PAUSE_NANOS = 150_000_000L;
-    /** Spreads the ranks of names that follow each other. */
-    private static final int RANK_FACTOR = 0x9E3779B9;
 
-    private final String self;
+    private final HostRecord self;
     private final StoreMirror mirror;
     private final StoreContact contact;
     private long comparedChanges;
     private long comparedAt;
 
-    StoreDuty(String self, StoreMirror mirror, StoreContact contact) {
+    StoreDuty(HostRecord self, StoreMirror mirror, StoreContact contact) {
         this.self = self;
         this.mirror = mirror;
         this.contact = contact;
@@ -53,15 +52,11 @@
             return true;
         }
         long ahead = alive.stream()
-                .filter(peer -> peer.hasStore() && rank(peer.host().name()) < rank(self))
+                .filter(peer -> peer.hasStore() && HostRank.isBefore(peer.host(), self))
                 .count();
         return ahead < HOSTS;
     }
 
-    private static int rank(String name) {
-        return name.hashCode() * RANK_FACTOR;
-    }
-
     /** Whether the others' knowledge should be compared now. */
     boolean isDue(long now) {
         if (mirror.changes() == comparedChanges && now - comparedAt <= COMPARE_NANOS) {
@@ -72,7 +67,10 @@
         return true;
     }
 
-    /** Tells another host what it lacks; at once if this host is on duty, else when nobody else does. */
+    /**
+     * Tells another host what it lacks: at once if this host is on duty or the other one's relay, else when nobody
+     * else does.
+     */
     void tellMissing(PeerState peer, boolean isOnDuty, long now) {
         if (peer.outbound() == null || !peer.outbound().isWritable() || now - peer.toldObjectsAt() < TELL_PAUSE_NANOS) {
             return;
@@ -84,7 +82,7 @@
             }
             List<StoredObject> missing = mirror.changedAfter(kind, entry.getValue());
             long lacking = peer.lackingFor(!missing.isEmpty(), now);
-            if (!missing.isEmpty() && (isOnDuty || lacking > LEFT_TO_DUTY_NANOS)) {
+            if (!missing.isEmpty() && (isOnDuty || !peer.isRelay() || lacking > LEFT_TO_DUTY_NANOS)) {
                 peer.outbound().send(new PeerNews.Objects(kind, mirror.completeTo(kind), missing));
                 peer.noteToldObjects(now);
             }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
@@ -81,7 +81,8 @@
                 Clock.systemUTC().millis(),
                 settings.peerAddress().toString(),
                 settings.callerAddress().toString(),
-                settings.zone());
+                settings.zone(),
+                settings.processors());
         this.fleet = new FleetLoad(settings.name(), settings.bounds().shareWindowNanos());
         this.contact = new StoreContact(System.nanoTime());
         this.mirror = new StoreMirror(this::changed);
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/EdgeSettings.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/EdgeSettings.java
@@ -11,6 +11,7 @@
  *
  * @param name the name of the host
  * @param zone its availability zone
+ * @param processors what its processor bears, in processors of the usual speed
  * @param callerAddress where callers connect
  * @param directoryAddress where callers ask which hosts to use
  * @param readinessAddress where the platform asks whether the host takes requests
@@ -26,6 +27,7 @@
 public record EdgeSettings(
         String name,
         String zone,
+        double processors,
         HostAndPort callerAddress,
         HostAndPort directoryAddress,
         HostAndPort readinessAddress,
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/EdgeSettingsReader.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/EdgeSettingsReader.java
@@ -19,6 +19,9 @@
     private static final double DEFAULT_SHARE_WINDOW_SECONDS = 4;
     private static final double DEFAULT_ANSWER_LIFE_SECONDS = 2;
     private static final double DEFAULT_GRACE_SECONDS = 8;
+    private static final double LEAST_PROCESSOR_SHARE = 0.01;
+    private static final double MOST_PROCESSOR_SHARE = 1_024;
+    private static final double MOST_PROCESSOR_SPEED = 1_024;
 
     private EdgeSettingsReader() {}
 
@@ -44,6 +47,8 @@
         EdgeSettings settings = new EdgeSettings(
                 host.text("name"),
                 host.text("zone"),
+                host.number("processor_share", LEAST_PROCESSOR_SHARE, MOST_PROCESSOR_SHARE, 1)
+                        * host.number("processor_speed", LEAST_PROCESSOR_SHARE, MOST_PROCESSOR_SPEED, 1),
                 root.table("caller").address("address"),
                 root.table("directory").address("address"),
                 root.table("readiness").address("address"),
--- a/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerCodecTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerCodecTest.java
@@ -20,7 +20,9 @@
 
 class PeerCodecTest {
 
-    private static final HostRecord HOST = new HostRecord("h", 7, "10.0.0.1:1", "10.0.0.1:2", "a");
+    private static final HostRecord HOST = new HostRecord("h", 7, "10.0.0.1:1", "10.0.0.1:2", "a", 0.75);
+
+    private static final List<PromptPart> PARTS = List.of(new PromptPart(-1, 5), new PromptPart(Long.MAX_VALUE, 0));
 
     private static void assertUnchanged(PeerNews news) {
         assertEquals(news, PeerCodec.decode(PeerCodec.encode(news)));
@@ -29,9 +31,26 @@
     @Test
     void messagesAreReadAsTheyWereWritten() {
         assertUnchanged(new PeerNews.Heard());
-        assertUnchanged(new PeerNews.Hello(HOST, true, List.of(HOST, HOST)));
-        List<PromptPart> parts = List.of(new PromptPart(-1, 5), new PromptPart(Long.MAX_VALUE, 0));
-        assertUnchanged(new PeerNews.Pulse(
+        assertUnchanged(new PeerNews.Hello(HOST, true, false, true, List.of(HOST, HOST)));
+        assertUnchanged(new PeerNews.Parts(List.of(new LoadEvent.Kept("r", PARTS))));
+    }
+
+    @Test
+    void reportsPassUnchanged() {
+        HostReport report = new HostReport("h", 7, 8, new byte[] {1, 2, 3});
+        PeerNews.Bundle read =
+                (PeerNews.Bundle) PeerCodec.decode(PeerCodec.encode(new PeerNews.Bundle(List.of(report, report))));
+        assertEquals(2, read.reports().size());
+        HostReport last = read.reports().getLast();
+        assertEquals("h", last.host());
+        assertEquals(7, last.incarnation());
+        assertEquals(8, last.sequence());
+        assertArrayEquals(report.state(), last.state());
+    }
+
+    @Test
+    void statesAreReadAsTheyWereWritten() {
+        HostState state = new HostState(
                 true,
                 false,
                 1_234,
@@ -40,13 +59,23 @@
                         ObjectKind.RUNNER, 2L,
                         ObjectKind.CLOSED_ZONE, 0L,
                         ObjectKind.HOST, Long.MAX_VALUE),
+                Optional.of(HOST),
                 List.of(
-                        new LoadEvent.Sent(1, "r", Optional.of("w"), parts, 2, 3, 4),
+                        new LoadEvent.Sent(1, "r", Optional.of("w"), PARTS, 2, 3, 4),
                         new LoadEvent.Sent(2, "r", Optional.empty(), List.of(), 0, 0, 0),
                         new LoadEvent.Began(1),
                         new LoadEvent.Ended(1),
                         new LoadEvent.Unreachable("r"),
-                        new LoadEvent.Kept("r", parts))));
+                        new LoadEvent.Kept("r", PARTS)));
+        assertEquals(state, PeerCodec.decodeState(PeerCodec.encode(state)));
+        HostState change = new HostState(false, true, 0, state.completeTo(), Optional.empty(), List.of());
+        assertEquals(change, PeerCodec.decodeState(PeerCodec.encode(change)));
+        byte[] good = PeerCodec.encode(state);
+        for (int length = 0; length < good.length; length++) {
+            byte[] cut = Arrays.copyOf(good, length);
+            MangowallException failure = assertThrows(MangowallException.class, () -> PeerCodec.decodeState(cut));
+            assertEquals(FailureCode.FRAME_INVALID, failure.failureCode());
+        }
     }
 
     @Test
@@ -61,7 +90,7 @@
 
     @Test
     void bytesThatAreNoMessageAreRefused() {
-        byte[] good = PeerCodec.encode(new PeerNews.Hello(HOST, false, List.of(HOST)));
+        byte[] good = PeerCodec.encode(new PeerNews.Hello(HOST, false, true, false, List.of(HOST)));
         for (int length = 0; length < good.length; length++) {
             byte[] cut = Arrays.copyOf(good, length);
             MangowallException failure = assertThrows(MangowallException.class, () -> PeerCodec.decode(cut));
--- a/mangowall-edge/src/test/java/org/mangowall/edge/peer/StoreDutyTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/peer/StoreDutyTest.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 
 import org.junit.jupiter.api.Test;
 import org.mangowall.edge.mirror.StoreContact;
@@ -19,11 +21,16 @@
     private final StoreMirror mirror = new StoreMirror(object -> {});
 
     private static PeerState peer(String name, boolean hasStore) {
-        PeerState peer = new PeerState(new HostRecord(name, 1, "10.0.0.1:1", "10.0.0.1:2", "a"));
-        peer.setHasStore(hasStore);
+        PeerState peer = new PeerState(host(name));
+        HostState state = new HostState(true, hasStore, 0, Map.of(), Optional.empty(), List.of());
+        peer.take(new HostReport(name, 1, 1, new byte[0]), state, true);
         return peer;
     }
 
+    private static HostRecord host(String name) {
+        return new HostRecord(name, 1, "10.0.0.1:1", "10.0.0.1:2", "a", 1);
+    }
+
     /** The hosts on duty when each sees all others, those of {@code turnedAway} without the store. */
     private List<String> onDuty(List<String> alive, List<String> turnedAway) {
         List<String> duty = new ArrayList<>();
@@ -33,7 +40,7 @@
                     .map(name -> peer(name, !turnedAway.contains(name)))
                     .toList();
             StoreContact contact = new StoreContact(0);
-            if (new StoreDuty(self, mirror, contact).isOnDuty(others, SECOND)) {
+            if (new StoreDuty(host(self), mirror, contact).isOnDuty(others, SECOND)) {
                 duty.add(self);
             }
         }
@@ -76,11 +83,11 @@
     void aHostThatHearsNothingOfTheStoreAsksByItself() {
         List<PeerState> others =
                 names(30).stream().map(name -> peer(name, true)).toList();
-        StoreDuty last = new StoreDuty("last", mirror, new StoreContact(0));
+        StoreDuty last = new StoreDuty(host("last"), mirror, new StoreContact(0));
         boolean atOnce = last.isOnDuty(others, SECOND);
         assertTrue(last.isOnDuty(others, 5 * SECOND));
         StoreContact contact = new StoreContact(0);
         contact.answeredOther(4 * SECOND);
-        assertEquals(atOnce, new StoreDuty("last", mirror, contact).isOnDuty(others, 5 * SECOND));
+        assertEquals(atOnce, new StoreDuty(host("last"), mirror, contact).isOnDuty(others, 5 * SECOND));
     }
 }
--- a/mangowall-edge/src/test/java/org/mangowall/edge/program/EdgeSettingsReaderTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/program/EdgeSettingsReaderTest.java
@@ -30,6 +30,8 @@
                 [host]
                 name = "h"
                 zone = "a"
+                processor_share = 0.75
+                processor_speed = 2
                 [caller]
                 address = "10.0.0.1:1"
                 [directory]
