Relay news inside availability zones, and ask the store less at the first start

Ruled out: bytes of requests, which the smaller sites show to be a tenth. Change: relays are chosen in each zone; a host takes the news of the fleet from one relay of its zone and keeps the second as a stand-by, to which it changes after 0.6 s of silence; at the first start of a fleet hosts wait 2 s before they ask the store; only hosts on duty, or alone, read the list of hosts.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/Membership.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/Membership.java
@@ -46,6 +46,12 @@
         return peer.isConnected() && now - peer.heardAt() < SILENT_NANOS;
     }
 
+    /** Whether something came lately on the connection over which a host speaks. */
+    boolean isSpeaking(String name, long silentNanos, long now) {
+        PeerState peer = peers.get(name);
+        return peer != null && peer.inbound() != null && now - peer.inboundAt() < silentNanos;
+    }
+
     /** Takes a host that another source names. */
     void found(HostRecord host) {
         if (host.name().equals(self.name())) {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/NewsBoard.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/NewsBoard.java
@@ -23,6 +23,12 @@
         return forAll.isEmpty() && fromRelays.isEmpty();
     }
 
+    /** The reports of this host alone, for a host that gets those of others elsewhere. */
+    PeerNews.Bundle ofHost(String name) {
+        return new PeerNews.Bundle(
+                forAll.stream().filter(report -> report.host().equals(name)).toList());
+    }
+
     PeerNews.Bundle forRelays() {
         return new PeerNews.Bundle(List.copyOf(forAll));
     }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerCodec.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerCodec.java
@@ -41,8 +41,9 @@
                 case PeerNews.Hello hello -> {
                     packer.packInt(HELLO);
                     packHost(packer, hello.sender());
-                    packer.packBoolean(hello.isRelay());
-                    packer.packBoolean(hello.isChosen());
+                    packer.packBoolean(hello.role().isRelay());
+                    packer.packBoolean(hello.role().isChosen());
+                    packer.packBoolean(hello.role().wantsAll());
                     packer.packBoolean(hello.wantsParts());
                     packer.packArrayHeader(hello.known().size());
                     for (HostRecord host : hello.known()) {
@@ -167,8 +168,7 @@
                 case HELLO ->
                     new PeerNews.Hello(
                             unpackHost(unpacker),
-                            unpacker.unpackBoolean(),
-                            unpacker.unpackBoolean(),
+                            new LinkRole(unpacker.unpackBoolean(), unpacker.unpackBoolean(), unpacker.unpackBoolean()),
                             unpacker.unpackBoolean(),
                             unpackHosts(unpacker));
                 case BUNDLE -> unpackBundle(unpacker);
--- /dev/null
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerDialer.java
@@ -0,0 +1,55 @@
+package org.mangowall.edge.peer;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import org.mangowall.inventory.checked.HostAndPort;
+import org.mangowall.inventory.checked.UnitSyntax;
+
+/** Opens connections to other hosts. */
+final class PeerDialer {
+
+    /** Hosts answer a new connection within milliseconds, from other regions within a few hundred. */
+    private static final int CONNECT_TIMEOUT_MILLIS = 500;
+
+    private final EventLoop loop;
+    private final PeerChannel.Receiver receiver;
+
+    PeerDialer(EventLoop loop, PeerChannel.Receiver receiver) {
+        this.loop = loop;
+        this.receiver = receiver;
+    }
+
+    /**
+     * Connects to a host.
+     *
+     * @param listener gets the connection, or nothing when there is none
+     */
+    void dial(String peerAddress, Consumer<Optional<PeerChannel>> listener) {
+        Optional<HostAndPort> address = UnitSyntax.parseAddress(peerAddress);
+        if (address.isEmpty()) {
+            listener.accept(Optional.empty());
+            return;
+        }
+        PeerChannel outbound = new PeerChannel(receiver);
+        new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        outbound.install(channel);
+                    }
+                })
+                .connect(address.get().toSocketAddress())
+                .addListener(done -> listener.accept(done.isSuccess() ? Optional.of(outbound) : Optional.empty()));
+    }
+}
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
@@ -7,19 +7,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import java.util.stream.Stream;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import org.mangowall.edge.decision.FleetLoad;
 import org.mangowall.edge.decision.LoadEvent;
 import org.mangowall.edge.log.DecisionLog;
@@ -28,8 +22,6 @@
 import org.mangowall.edge.model.HostRecord;
 import org.mangowall.edge.traffic.LoadNews;
 import org.mangowall.edge.wire.ObjectKind;
-import org.mangowall.inventory.checked.HostAndPort;
-import org.mangowall.inventory.checked.UnitSyntax;
 
 /**
  * Connections to other hosts: to all of them in a small fleet, to some in a large one, as {@link RelayPlan} says.
@@ -48,10 +40,12 @@
     /** News passes up to two relays, and should arrive while it still decides something. */
     private static final long MOST_GATHER_NANOS = 100_000_000L;
 
+    /** A relay that is silent for so long, several times its usual pause, is left for the next one. */
+    private static final long SOURCE_SILENT_NANOS = 600_000_000L;
+
     private static final long HEARTBEAT_NANOS = 250_000_000L;
     private static final long TICK_MILLIS = 20;
     private static final long PLAN_NANOS = 100_000_000L;
-    private static final int CONNECT_TIMEOUT_MILLIS = 500;
     /** How often a host that is heard is told so. */
     private static final long ACKNOWLEDGE_NANOS = 400_000_000L;
     /** How often all of this host's work is told, to repair what was lost on the way. */
@@ -71,11 +65,13 @@
     private final LongSupplier nanos;
     private final BooleanSupplier isReady;
     private final StoreDuty duty;
+    private final PeerDialer dialer;
     private final Membership membership;
     private final NewsBoard board = new NewsBoard();
     private final Map<String, PeerState> seeds = new HashMap<>();
-    private RelayPlan plan = new RelayPlan(true, Set.of());
+    private RelayPlan plan = new RelayPlan(true, List.of());
     private List<LoadEvent> pending = new ArrayList<>();
+    private String source = "";
     private long sequence;
     private long plannedAt;
     private long toldAt;
@@ -108,6 +104,7 @@
         this.membership = new Membership(self, fleet, contact, log);
         this.log = log;
         this.loop = loop;
+        this.dialer = new PeerDialer(loop, this);
         this.nanos = nanos;
         this.isReady = isReady;
         this.plannedAt = nanos.getAsLong() - PLAN_NANOS;
@@ -154,6 +151,11 @@
                 .toList();
     }
 
+    /** Whether no other host is heard. */
+    public boolean isAlone() {
+        return membership.alive(nanos.getAsLong()).isEmpty();
+    }
+
     /** Whether this host is one of those that ask the store for the others. */
     public boolean isOnStoreDuty() {
         long now = nanos.getAsLong();
@@ -199,16 +201,33 @@
                 line.writeNumberField("hosts", candidates.size() + 1L);
             });
         }
+        source = findSource(now);
         for (PeerState peer : membership.peers()) {
-            if (peer.outbound() != null && (isNewRole || peer.wasToldChosen() != isChosen(peer))) {
-                peer.setToldChosen(isChosen(peer));
-                peer.outbound().send(new PeerNews.Hello(self, plan.isRelay(), isChosen(peer), false, List.of()));
+            LinkRole role = roleFor(peer);
+            if (peer.outbound() != null && !role.equals(peer.toldRole())) {
+                peer.setToldRole(role);
+                peer.outbound().send(new PeerNews.Hello(self, role, false, List.of()));
             }
         }
     }
 
+    /** The relay from which this host takes the news of the fleet: the first of its plan that is heard. */
+    private String findSource(long now) {
+        return plan.contacts().stream()
+                .filter(name -> membership.isSpeaking(name, SOURCE_SILENT_NANOS, now))
+                .findFirst()
+                .orElse("");
+    }
+
+    private LinkRole roleFor(PeerState peer) {
+        boolean isSource =
+                plan.isRelay() || source.isEmpty() || peer.host().name().equals(source);
+        return new LinkRole(plan.isRelay(), isChosen(peer), isChosen(peer) && isSource);
+    }
+
     private boolean isChosen(PeerState peer) {
-        return plan.contacts().contains(peer.host().name());
+        String name = peer.host().name();
+        return name.isEmpty() || plan.contacts().contains(name);
     }
 
     private void connect(long now) {
@@ -219,7 +238,7 @@
             keepConnected(seed, !isKnown, now);
         }
         for (PeerState peer : membership.peers()) {
-            keepConnected(peer, isChosen(peer) || peer.isChosenByPeer(), now);
+            keepConnected(peer, isChosen(peer) || peer.role().isChosen(), now);
         }
     }
 
@@ -234,41 +253,22 @@
     }
 
     private void dial(PeerState peer, long now) {
-        Optional<HostAndPort> address = UnitSyntax.parseAddress(peer.host().peerAddress());
-        if (address.isEmpty()) {
-            return;
-        }
         peer.beginDialing(now);
-        PeerChannel outbound = new PeerChannel(this);
-        new Bootstrap()
-                .group(loop)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .handler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel channel) {
-                        outbound.install(channel);
-                    }
-                })
-                .connect(address.get().toSocketAddress())
-                .addListener(done -> {
-                    peer.endDialing();
-                    if (done.isSuccess()) {
-                        greet(peer, outbound);
-                    }
-                });
+        dialer.dial(peer.host().peerAddress(), opened -> {
+            peer.endDialing();
+            opened.ifPresent(outbound -> greet(peer, outbound));
+        });
     }
 
     private void greet(PeerState peer, PeerChannel outbound) {
         long now = nanos.getAsLong();
-        boolean isChosen = isChosen(peer) || peer.host().name().isEmpty();
-        peer.opened(outbound, isChosen, now);
+        LinkRole role = roleFor(peer);
+        peer.opened(outbound, role, now);
         List<HostRecord> known =
                 membership.alive(now).stream().map(PeerState::host).toList();
         boolean wantsParts = partsAsked < PARTS_FROM_HOSTS;
         partsAsked += wantsParts ? 1 : 0;
-        outbound.send(new PeerNews.Hello(self, plan.isRelay(), isChosen, wantsParts, known));
+        outbound.send(new PeerNews.Hello(self, role, wantsParts, known));
         outbound.send(new PeerNews.Bundle(List.of(ownReport(Optional.of(self), fleet.ownWork(), now))));
     }
 
@@ -299,10 +299,12 @@
         acknowledgedAt = acknowledges ? now : acknowledgedAt;
         byte[] forRelays = PeerCodec.encode(board.forRelays());
         byte[] forMembers = PeerCodec.encode(board.forMembers());
+        byte[] ownAlone = PeerCodec.encode(board.ofHost(self.name()));
         board.clear();
         for (PeerState peer : membership.peers()) {
             if (peer.outbound() != null && peer.outbound().isWritable()) {
-                peer.outbound().send(peer.isRelay() ? forRelays : forMembers);
+                byte[] forMember = peer.role().wantsAll() ? forMembers : ownAlone;
+                peer.outbound().send(peer.role().isRelay() ? forRelays : forMember);
                 if (peer.takeWantsParts()) {
                     peer.outbound().send(new PeerNews.Parts(List.copyOf(fleet.keptParts())));
                 }
@@ -352,7 +354,7 @@
             if (!membership.apply(report, isDirect, now)) {
                 continue;
             }
-            if (sender.isRelay()) {
+            if (sender.role().isRelay()) {
                 board.addFromRelay(report);
             } else {
                 board.add(report);
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerNews.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerNews.java
@@ -14,13 +14,11 @@
      * The first message of a connection, and again when it is no longer true.
      *
      * @param sender who speaks
-     * @param isRelay whether the sender passes on the news of others
-     * @param isChosen whether the sender needs this connection, and not only answers one that the receiver opened
+     * @param role what the sender is to the receiver
      * @param wantsParts whether it has just started and doesn't know what the runners keep
      * @param known the other hosts that it knows
      */
-    record Hello(HostRecord sender, boolean isRelay, boolean isChosen, boolean wantsParts, List<HostRecord> known)
-            implements PeerNews {}
+    record Hello(HostRecord sender, LinkRole role, boolean wantsParts, List<HostRecord> known) implements PeerNews {}
 
     /**
      * Reports of the sender and of hosts whose news it passes on.
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerState.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerState.java
@@ -23,8 +23,7 @@
     private PeerChannel outbound;
     private boolean isReady;
     private boolean hasStore = true;
-    private boolean isRelay = true;
-    private boolean isChosenByPeer;
+    private LinkRole role = LinkRole.UNKNOWN;
     private boolean isThroughRelay;
     private Map<ObjectKind, Long> completeTo = Map.of();
     private long lastSequence;
@@ -39,7 +38,7 @@
     private long dialPauseNanos;
     private long unneededSince = Long.MAX_VALUE;
     private long toldObjectsAt;
-    private boolean wasToldChosen;
+    private LinkRole toldRole = LinkRole.UNKNOWN;
 
     PeerState(HostRecord host) {
         this.host = host;
@@ -81,8 +80,7 @@
             inbound.close();
         }
         inbound = from;
-        isRelay = hello.isRelay();
-        isChosenByPeer = hello.isChosen();
+        role = hello.role();
         wantsParts |= hello.wantsParts();
     }
 
@@ -117,9 +115,9 @@
         return outbound;
     }
 
-    void opened(PeerChannel channel, boolean isToldChosen, long now) {
+    void opened(PeerChannel channel, LinkRole told, long now) {
         outbound = channel;
-        wasToldChosen = isToldChosen;
+        toldRole = told;
         answeredAt = now;
         nextDialAt = now;
         dialPauseNanos = 0;
@@ -136,7 +134,7 @@
     void closed(PeerChannel gone) {
         if (inbound == gone) {
             inbound = null;
-            isChosenByPeer = false;
+            role = LinkRole.UNKNOWN;
         }
         if (outbound == gone) {
             outbound = null;
@@ -155,23 +153,18 @@
         return isReady;
     }
 
-    /** Whether it passes on the news of others. */
-    boolean isRelay() {
-        return isRelay;
+    /** What it is to this host, as it told last. */
+    LinkRole role() {
+        return role;
     }
 
-    /** Whether it opened its connection because it needs it. */
-    boolean isChosenByPeer() {
-        return isChosenByPeer;
+    /** What it was told last that this host is to it. */
+    LinkRole toldRole() {
+        return toldRole;
     }
 
-    /** Whether it was told last that this host needs the connection. */
-    boolean wasToldChosen() {
-        return wasToldChosen;
-    }
-
-    void setToldChosen(boolean isChosen) {
-        wasToldChosen = isChosen;
+    void setToldRole(LinkRole told) {
+        toldRole = told;
     }
 
     /** Whether it may be tried now: it has not failed just before. */
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/RelayPlan.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/RelayPlan.java
@@ -1,9 +1,10 @@
 package org.mangowall.edge.peer;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Set;
+import java.util.Map;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
@@ -14,24 +15,25 @@
  * Decides which hosts pass news on, and with which ones a host exchanges news.
  *
  * <p>In a small fleet every host talks to every other. In a larger one, where the messages would grow with the square
- * of the fleet, a few relays talk to each other, and each remaining host to two of them: one may be lost.
+ * of the fleet, the relays of all availability zones talk to each other, and each remaining host to two of its own
+ * zone: one may be lost, and news crosses between zones once.
  *
  * @param isRelay whether this host passes on the news of others
- * @param contacts the names of the hosts with which this host exchanges news
+ * @param contacts the names of the hosts with which this host exchanges news, the preferred one first
  */
-record RelayPlan(boolean isRelay, Set<String> contacts) {
+record RelayPlan(boolean isRelay, List<String> contacts) {
 
     /** Up to this size each host tells all others; the messages of a larger fleet cost more than relays save. */
     static final int MOST_DIRECT_HOSTS = 20;
-    /** So many hosts make one relay necessary. */
+    /** So many hosts of a zone make one more relay necessary. */
     private static final int HOSTS_PER_RELAY = 16;
 
-    private static final int LEAST_RELAYS = 4;
+    private static final int LEAST_RELAYS_OF_ZONE = 2;
     private static final int RELAYS_PER_HOST = 2;
 
     /** Copies the contacts. */
     RelayPlan {
-        contacts = Set.copyOf(contacts);
+        contacts = List.copyOf(contacts);
     }
 
     /**
@@ -40,24 +42,32 @@
      * @param others the other hosts that are heard or not yet tried
      */
     static RelayPlan of(HostRecord self, Collection<HostRecord> others) {
-        int size = others.size() + 1;
-        if (size <= MOST_DIRECT_HOSTS) {
+        if (others.size() < MOST_DIRECT_HOSTS) {
             return new RelayPlan(true, names(others.stream()));
         }
-        int count = Math.max(LEAST_RELAYS, Math.ceilDiv(size, HOSTS_PER_RELAY));
-        List<HostRecord> relays =
-                others.stream().sorted(HostRank.ORDER).limit(count).toList();
-        boolean isRelay = HostRank.isBefore(self, relays.getLast());
-        if (isRelay) {
-            return new RelayPlan(true, names(relays.stream().limit(count - 1L)));
+        List<HostRecord> all = new ArrayList<>(others);
+        all.add(self);
+        Map<String, List<HostRecord>> relays = all.stream()
+                .sorted(HostRank.ORDER)
+                .collect(Collectors.groupingBy(
+                        HostRecord::zone, Collectors.collectingAndThen(Collectors.toList(), RelayPlan::relaysOfZone)));
+        List<HostRecord> ownZone = relays.get(self.zone());
+        if (ownZone.contains(self)) {
+            return new RelayPlan(
+                    true, names(relays.values().stream().flatMap(List::stream).filter(relay -> relay != self)));
         }
         Comparator<HostRecord> nearest =
                 Comparator.comparingLong(relay -> Rendezvous.weight(self.name(), relay.name()));
         return new RelayPlan(
-                false, names(relays.stream().sorted(nearest.reversed()).limit(RELAYS_PER_HOST)));
+                false, names(ownZone.stream().sorted(nearest.reversed()).limit(RELAYS_PER_HOST)));
     }
 
-    private static Set<String> names(Stream<HostRecord> hosts) {
-        return hosts.map(HostRecord::name).collect(Collectors.toUnmodifiableSet());
+    private static List<HostRecord> relaysOfZone(List<HostRecord> ranked) {
+        int count = Math.max(LEAST_RELAYS_OF_ZONE, Math.ceilDiv(ranked.size(), HOSTS_PER_RELAY));
+        return ranked.stream().limit(count).toList();
+    }
+
+    private static List<String> names(Stream<HostRecord> hosts) {
+        return hosts.map(HostRecord::name).toList();
     }
 }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/StoreDuty.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/StoreDuty.java
@@ -82,7 +82,7 @@
             }
             List<StoredObject> missing = mirror.changedAfter(kind, entry.getValue());
             long lacking = peer.lackingFor(!missing.isEmpty(), now);
-            if (!missing.isEmpty() && (isOnDuty || !peer.isRelay() || lacking > LEFT_TO_DUTY_NANOS)) {
+            if (!missing.isEmpty() && (isOnDuty || !peer.role().isRelay() || lacking > LEFT_TO_DUTY_NANOS)) {
                 peer.outbound().send(new PeerNews.Objects(kind, mirror.completeTo(kind), missing));
                 peer.noteToldObjects(now);
             }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
@@ -47,6 +47,9 @@
     /** Callers have heard by then that the host is leaving; later requests could outlast the end. */
     private static final long TAKE_AFTER_LEAVE_MILLIS = 2_800;
 
+    /** Hosts that start together know each other by then. */
+    private static final long FIRST_START_NANOS = 2_000_000_000L;
+
     private static final long CLOSE_MILLIS = 1_000;
     private static final long END_CHECK_MILLIS = 50;
     /** What is kept back of the grace for the process to end. */
@@ -66,6 +69,7 @@
     private final StoreContact contact;
     private final RunnerRoster roster;
     private final HostRecord self;
+    private final long startedAt = System.nanoTime();
     private PeerMesh mesh;
     private EdgeContext context;
     private CallerConnections callers;
@@ -131,15 +135,24 @@
         callers = new CallerConnections(context, new RunnerConnections(context));
         StoreCalls calls = adapter.connect(settings.store().toSocketAddress(), loop);
         for (ObjectKind kind : List.of(ObjectKind.CONFIGURATION, ObjectKind.RUNNER, ObjectKind.CLOSED_ZONE)) {
-            new StoreFollower(
-                            kind, calls, mirror, contact, loop, System::nanoTime, this::logContact, mesh::isOnStoreDuty)
+            new StoreFollower(kind, calls, mirror, contact, loop, System::nanoTime, this::logContact, this::asksStore)
                     .start();
         }
-        new HostRegistry(self, calls, adapter.objects(), loop, mesh::found).start();
+        new HostRegistry(self, calls, adapter.objects(), loop, mesh::found, this::needsHosts).start();
         mesh.start();
         loop.scheduleAtFixedRate(this::everySecond, SECOND_MILLIS, SECOND_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /** In the first start of a whole fleet, hosts find each other before any asks the store. */
+    private boolean asksStore() {
+        boolean isSettling = settings.isFirstStart() && System.nanoTime() - startedAt < FIRST_START_NANOS;
+        return !isSettling && mesh.isOnStoreDuty();
+    }
+
+    private boolean needsHosts() {
+        return mesh.isAlone() || mesh.isOnStoreDuty();
+    }
+
     private void everySecond() {
         long now = System.nanoTime();
         roster.removeOverdue(now);
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/EdgeSettings.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/EdgeSettings.java
@@ -12,6 +12,7 @@
  * @param name the name of the host
  * @param zone its availability zone
  * @param processors what its processor bears, in processors of the usual speed
+ * @param isFirstStart whether the whole fleet starts for the first time
  * @param callerAddress where callers connect
  * @param directoryAddress where callers ask which hosts to use
  * @param readinessAddress where the platform asks whether the host takes requests
@@ -28,6 +29,7 @@
         String name,
         String zone,
         double processors,
+        boolean isFirstStart,
         HostAndPort callerAddress,
         HostAndPort directoryAddress,
         HostAndPort readinessAddress,
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/EdgeSettingsReader.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/EdgeSettingsReader.java
@@ -49,6 +49,7 @@
                 host.text("zone"),
                 host.number("processor_share", LEAST_PROCESSOR_SHARE, MOST_PROCESSOR_SHARE, 1)
                         * host.number("processor_speed", LEAST_PROCESSOR_SHARE, MOST_PROCESSOR_SPEED, 1),
+                host.flag("first_start", false),
                 root.table("caller").address("address"),
                 root.table("directory").address("address"),
                 root.table("readiness").address("address"),
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/HostRegistry.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/HostRegistry.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 import io.netty.channel.EventLoop;
@@ -15,8 +16,8 @@
 /**
  * Finds the other hosts through the platform's store.
  *
- * <p>Writes this host's address once for each start, and reads the list now and then: hosts that know each other tell
- * the rest by themselves.
+ * <p>Writes this host's address once for each start. Reads the list while this host knows no other, or as one of a few
+ * that do so for all: hosts that know each other tell the rest by themselves.
  */
 final class HostRegistry {
 
@@ -29,9 +30,22 @@
     private final ObjectDialect dialect;
     private final EventLoop loop;
     private final Consumer<HostRecord> listener;
+    private final BooleanSupplier needsList;
 
+    /**
+     * Prepares to find hosts.
+     *
+     * @param listener hears of each host of the list
+     * @param needsList whether the list should be read now
+     */
     HostRegistry(
-            HostRecord self, StoreCalls calls, ObjectDialect dialect, EventLoop loop, Consumer<HostRecord> listener) {
+            HostRecord self,
+            StoreCalls calls,
+            ObjectDialect dialect,
+            EventLoop loop,
+            Consumer<HostRecord> listener,
+            BooleanSupplier needsList) {
+        this.needsList = needsList;
         this.self = self;
         this.calls = calls;
         this.dialect = dialect;
@@ -41,7 +55,15 @@
 
     void start() {
         write();
-        loop.schedule(() -> read(""), FIRST_READ_MILLIS, TimeUnit.MILLISECONDS);
+        loop.schedule(this::readIfNeeded, FIRST_READ_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void readIfNeeded() {
+        if (needsList.getAsBoolean()) {
+            read("");
+        } else {
+            loop.schedule(this::readIfNeeded, FIRST_READ_MILLIS, TimeUnit.MILLISECONDS);
+        }
     }
 
     private void write() {
@@ -55,14 +77,14 @@
     private void read(String afterName) {
         calls.list(ObjectKind.HOST, afterName, true, outcome -> {
             if (!(outcome instanceof StoreOutcome.Page page)) {
-                loop.schedule(() -> read(""), spread(RETRY_MILLIS), TimeUnit.MILLISECONDS);
+                loop.schedule(this::readIfNeeded, spread(RETRY_MILLIS), TimeUnit.MILLISECONDS);
                 return;
             }
             for (StoredObject object : page.objects()) {
                 dialect.host(object).ifPresent(listener);
             }
             if (page.nextAfter().isEmpty()) {
-                loop.schedule(() -> read(""), spread(READ_MILLIS), TimeUnit.MILLISECONDS);
+                loop.schedule(this::readIfNeeded, spread(READ_MILLIS), TimeUnit.MILLISECONDS);
             } else {
                 read(page.nextAfter());
             }
--- a/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerCodecTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerCodecTest.java
@@ -31,7 +31,7 @@
     @Test
     void messagesAreReadAsTheyWereWritten() {
         assertUnchanged(new PeerNews.Heard());
-        assertUnchanged(new PeerNews.Hello(HOST, true, false, true, List.of(HOST, HOST)));
+        assertUnchanged(new PeerNews.Hello(HOST, new LinkRole(true, false, true), false, List.of(HOST, HOST)));
         assertUnchanged(new PeerNews.Parts(List.of(new LoadEvent.Kept("r", PARTS))));
     }
 
@@ -90,7 +90,7 @@
 
     @Test
     void bytesThatAreNoMessageAreRefused() {
-        byte[] good = PeerCodec.encode(new PeerNews.Hello(HOST, false, true, false, List.of(HOST)));
+        byte[] good = PeerCodec.encode(new PeerNews.Hello(HOST, new LinkRole(false, true, false), true, List.of(HOST)));
         for (int length = 0; length < good.length; length++) {
             byte[] cut = Arrays.copyOf(good, length);
             MangowallException failure = assertThrows(MangowallException.class, () -> PeerCodec.decode(cut));
--- a/mangowall-edge/src/test/java/org/mangowall/edge/peer/RelayPlanTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/peer/RelayPlanTest.java
@@ -17,10 +17,13 @@
 /** How news travels in fleets of all sizes, and how many connections that takes. */
 class RelayPlanTest {
 
+    private static final int ZONES = 3;
+
     private static List<HostRecord> fleet(int small, int large) {
         List<HostRecord> hosts = new ArrayList<>();
         for (int number = 0; number < small + large; number++) {
-            hosts.add(new HostRecord("edge-" + number, 1, "p" + number, "c", "z", number < small ? 0.36 : 1.5));
+            hosts.add(new HostRecord(
+                    "edge-" + number, 1, "p" + number, "c", "z" + number % ZONES, number < small ? 0.36 : 1.5));
         }
         return hosts;
     }
--- a/mangowall-edge/src/test/java/org/mangowall/edge/program/EdgeSettingsReaderTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/program/EdgeSettingsReaderTest.java
@@ -32,6 +32,7 @@
                 zone = "a"
                 processor_share = 0.75
                 processor_speed = 2
+                first_start = true
                 [caller]
                 address = "10.0.0.1:1"
                 [directory]
