--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
@@ -302,6 +302,11 @@
         return events;
     }
 
+    /** How many requests of all hosts a runner is believed to run; 0 when it isn't listed. */
+    public int runningAt(String identifier) {
+        return runnerState(identifier).map(RunnerState::running).orElse(0);
+    }
+
     /** How long an idle runner of a service takes to read so many tokens and give the first one. */
     double readMillis(String serviceName, double tokens) {
         return service(serviceName).firstToken().predictMillis(tokens);
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerDialer.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerDialer.java
@@ -13,25 +13,19 @@
 import org.mangowall.inventory.checked.UnitSyntax;
 
 /** Opens connections to other hosts. */
-final class PeerDialer {
+final class PeerDialer implements PeerMesh.Dialer {
 
     /** Hosts answer a new connection within milliseconds, from other regions within a few hundred. */
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
     private final EventLoop loop;
-    private final PeerChannel.Receiver receiver;
 
-    PeerDialer(EventLoop loop, PeerChannel.Receiver receiver) {
+    PeerDialer(EventLoop loop) {
         this.loop = loop;
-        this.receiver = receiver;
     }
 
-    /**
-     * Connects to a host.
-     *
-     * @param listener gets the connection, or nothing when there is none
-     */
-    void dial(String peerAddress, Consumer<Optional<PeerChannel>> listener) {
+    @Override
+    public void dial(String peerAddress, PeerChannel.Receiver receiver, Consumer<Optional<PeerChannel>> listener) {
         Optional<HostAndPort> address = UnitSyntax.parseAddress(peerAddress);
         if (address.isEmpty()) {
             listener.accept(Optional.empty());
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.stream.Stream;
 
@@ -61,11 +62,10 @@
     private final StoreMirror mirror;
     private final StoreContact contact;
     private final DecisionLog log;
-    private final EventLoop loop;
     private final LongSupplier nanos;
     private final BooleanSupplier isReady;
     private final StoreDuty duty;
-    private final PeerDialer dialer;
+    private final Dialer dialer;
     private final Membership membership;
     private final NewsBoard board = new NewsBoard();
     private final Map<String, PeerState> seeds = new HashMap<>();
@@ -96,6 +96,19 @@
             EventLoop loop,
             LongSupplier nanos,
             BooleanSupplier isReady) {
+        this(self, seedAddresses, fleet, mirror, contact, log, new PeerDialer(loop), nanos, isReady);
+    }
+
+    PeerMesh(
+            HostRecord self,
+            Collection<String> seedAddresses,
+            FleetLoad fleet,
+            StoreMirror mirror,
+            StoreContact contact,
+            DecisionLog log,
+            Dialer dialer,
+            LongSupplier nanos,
+            BooleanSupplier isReady) {
         this.self = self;
         this.fleet = fleet;
         this.mirror = mirror;
@@ -103,8 +116,7 @@
         this.duty = new StoreDuty(self, mirror, contact);
         this.membership = new Membership(self, fleet, contact, log);
         this.log = log;
-        this.loop = loop;
-        this.dialer = new PeerDialer(loop, this);
+        this.dialer = dialer;
         this.nanos = nanos;
         this.isReady = isReady;
         this.plannedAt = nanos.getAsLong() - PLAN_NANOS;
@@ -115,8 +127,20 @@
         }
     }
 
+    /** Opens connections to other hosts. */
+    interface Dialer {
+
+        /**
+         * Connects to a host.
+         *
+         * @param receiver hears what comes on the connection
+         * @param listener gets the connection, or nothing when there is none
+         */
+        void dial(String peerAddress, PeerChannel.Receiver receiver, Consumer<Optional<PeerChannel>> listener);
+    }
+
     /** Begins to connect and to tell. */
-    public void start() {
+    public void start(EventLoop loop) {
         loop.scheduleAtFixedRate(this::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
@@ -162,7 +186,7 @@
         return duty.isOnDuty(membership.alive(now), now);
     }
 
-    private void tick() {
+    void tick() {
         long now = nanos.getAsLong();
         membership.forgetSilent(now);
         if (now - plannedAt >= PLAN_NANOS) {
@@ -254,7 +278,7 @@
 
     private void dial(PeerState peer, long now) {
         peer.beginDialing(now);
-        dialer.dial(peer.host().peerAddress(), opened -> {
+        dialer.dial(peer.host().peerAddress(), this, opened -> {
             peer.endDialing();
             opened.ifPresent(outbound -> greet(peer, outbound));
         });
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
@@ -139,7 +139,7 @@
                     .start();
         }
         new HostRegistry(self, calls, adapter.objects(), loop, mesh::found, this::needsHosts).start();
-        mesh.start();
+        mesh.start(loop);
         loop.scheduleAtFixedRate(this::everySecond, SECOND_MILLIS, SECOND_MILLIS, TimeUnit.MILLISECONDS);
     }
 
--- /dev/null
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/decision/FleetLoadTest.java
@@ -0,0 +1,64 @@
+package org.mangowall.edge.decision;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.junit.jupiter.api.Test;
+import org.mangowall.edge.model.PromptPart;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** What a host believes of the others' work when news is lost or comes early. */
+class FleetLoadTest {
+
+    private static final List<PromptPart> PARTS = List.of(new PromptPart(1, 500), new PromptPart(2, 700));
+
+    private final FleetLoad fleet = new FleetLoad("self", Fixtures.WINDOW_NANOS);
+
+    FleetLoadTest() {
+        fleet.installTable(Fixtures.table(0, 0));
+    }
+
+    private static LoadEvent.Sent sent(long number) {
+        return new LoadEvent.Sent(number, "r", Optional.of("w"), PARTS, 1_200, 1_300, 1_400);
+    }
+
+    @Test
+    void aRestatementRepairsWhatWasLost() {
+        fleet.installRunner(Fixtures.runner("r", Fixtures.ENGINES, "a", 0), 0);
+        fleet.apply("other", sent(1), 0);
+        fleet.apply("other", sent(2), 0);
+        fleet.restate("other", List.of(sent(2), new LoadEvent.Began(2), sent(3)), 0);
+        RunnerState runner = fleet.runnerState("r").orElseThrow();
+        assertEquals(2, runner.running());
+        assertEquals(1_200, runner.unreadTokens(), "the prompt of one request is read, that of the other is not");
+        fleet.apply("other", new LoadEvent.Ended(2), 0);
+        fleet.apply("other", new LoadEvent.Ended(3), 0);
+        assertEquals(0, runner.running());
+        assertEquals(0, runner.unreadTokens());
+        assertEquals(0, runner.memoryTokens());
+    }
+
+    @Test
+    void workThatIsRestatedCountsOnceForItsWorkspace() {
+        fleet.installRunner(Fixtures.runner("r", Fixtures.ENGINES, "a", 0), 0);
+        fleet.installTable(Fixtures.table(1_400, 0));
+        fleet.apply("other", sent(1), 0);
+        double once = fleet.shareLoad("w", Fixtures.WINDOW_NANOS, 0).ofRated();
+        fleet.restate("other", List.of(sent(1)), 0);
+        assertEquals(
+                once,
+                fleet.shareLoad("w", Fixtures.WINDOW_NANOS, Fixtures.WINDOW_NANOS / 8)
+                        .ofRated());
+    }
+
+    /** A host that has just started may hear what a runner keeps before the store lists the runner. */
+    @Test
+    void whatAnUnlistedRunnerKeepsIsRemembered() {
+        fleet.apply("self", new LoadEvent.Kept("r", PARTS), 0);
+        fleet.installRunner(Fixtures.runner("r", Fixtures.ENGINES, "a", 0), 0);
+        assertEquals(1_200, fleet.runnerState("r").orElseThrow().cache().readTokens(PARTS));
+        assertTrue(fleet.keptParts().stream().anyMatch(kept -> kept.parts().equals(PARTS)));
+    }
+}
--- /dev/null
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerMeshTest.java
@@ -0,0 +1,170 @@
+package org.mangowall.edge.peer;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.mangowall.edge.decision.LoadEvent;
+import org.mangowall.edge.model.HostRecord;
+import org.mangowall.edge.model.RunnerEntry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** What hosts know of each other's work, in small and large fleets, while hosts are lost. */
+class PeerMeshTest {
+
+    private static final int ZONES = 3;
+    private static final String RUNNER = "runner";
+
+    private final SimulatedFleet fleet = new SimulatedFleet();
+    private final List<HostRecord> records = new ArrayList<>();
+    private final List<SimulatedFleet.Host> hosts = new ArrayList<>();
+
+    private void start(int count) {
+        for (int number = 0; number < count; number++) {
+            records.add(record(number, 1));
+        }
+        List<String> seeds =
+                records.stream().limit(3).map(HostRecord::peerAddress).toList();
+        for (HostRecord record : records) {
+            SimulatedFleet.Host host = fleet.start(record, seeds);
+            host.load().installRunner(runner(), 0);
+            hosts.add(host);
+        }
+    }
+
+    private static HostRecord record(int number, long incarnation) {
+        String address = "10.0." + number / 250 + "." + (number % 250 + 1) + ":7";
+        return new HostRecord("edge-" + number, incarnation, address, address, "z" + number % ZONES, 0.36);
+    }
+
+    private static RunnerEntry runner() {
+        return new RunnerEntry(
+                RUNNER, 0, "engines", new InetSocketAddress("127.0.0.1", 1), "z0", 64, false, Duration.ZERO);
+    }
+
+    private static LoadEvent.Sent sent(long number) {
+        return new LoadEvent.Sent(number, RUNNER, Optional.of("w"), List.of(), 100, 200, 300);
+    }
+
+    @AfterEach
+    void end() {
+        fleet.close();
+    }
+
+    private void assertAllHeard(List<SimulatedFleet.Host> alive) {
+        for (SimulatedFleet.Host host : alive) {
+            assertEquals(alive.size() - 1, host.heard().size());
+        }
+    }
+
+    @Test
+    void hostsFindEachOtherThroughSeeds() {
+        for (int size : List.of(9, 30, 87)) {
+            records.clear();
+            hosts.clear();
+            start(size);
+            fleet.advance(3_000);
+            assertAllHeard(hosts);
+        }
+    }
+
+    @Test
+    void workOfOneHostIsKnownToAllSoon() {
+        start(87);
+        fleet.advance(3_000);
+        hosts.get(40).tell(sent(1));
+        fleet.advance(400);
+        hosts.forEach(host -> assertEquals(1, host.load().runningAt(RUNNER)));
+        hosts.get(40).tell(new LoadEvent.Ended(1));
+        fleet.advance(400);
+        hosts.forEach(host -> assertEquals(0, host.load().runningAt(RUNNER)));
+    }
+
+    /** All to all, 87 hosts that tell ten times a second exchange 75,000 messages a second. */
+    @Test
+    void messagesOfALargeFleetAreFew() {
+        start(87);
+        fleet.advance(6_000);
+        long messagesBefore = fleet.messages();
+        long bytesBefore = fleet.bytesBetweenZones();
+        int seconds = 4;
+        for (int step = 0; step < seconds * 10; step++) {
+            for (SimulatedFleet.Host host : hosts) {
+                host.tell(sent(step));
+                host.tell(new LoadEvent.Ended(step));
+            }
+            fleet.advance(100);
+        }
+        long perSecond = (fleet.messages() - messagesBefore) / seconds;
+        assertTrue(perSecond < 15_000, perSecond + " messages a second");
+        long bytes = (fleet.bytesBetweenZones() - bytesBefore) / seconds / hosts.size();
+        assertTrue(bytes < 25_000, bytes + " bytes a second and host between zones");
+    }
+
+    @Test
+    void lostRelaysAreReplaced() {
+        start(87);
+        fleet.advance(4_000);
+        List<HostRecord> ranked = records.stream().sorted(HostRank.ORDER).toList();
+        fleet.kill(ranked.get(0));
+        fleet.freeze(ranked.get(1));
+        fleet.kill(ranked.get(2));
+        fleet.advance(4_000);
+        List<SimulatedFleet.Host> alive = new ArrayList<>();
+        for (int number = 0; number < hosts.size(); number++) {
+            if (ranked.indexOf(records.get(number)) > 2) {
+                alive.add(hosts.get(number));
+            }
+        }
+        assertAllHeard(alive);
+        alive.getFirst().tell(sent(1));
+        fleet.advance(500);
+        alive.forEach(host -> assertEquals(1, host.load().runningAt(RUNNER)));
+    }
+
+    @Test
+    void theWorkOfALostHostIsForgotten() {
+        start(30);
+        fleet.advance(3_000);
+        hosts.get(20).tell(sent(1));
+        fleet.advance(400);
+        fleet.kill(records.get(20));
+        fleet.advance(3_500);
+        for (int number = 0; number < hosts.size(); number++) {
+            if (number != 20) {
+                assertEquals(0, hosts.get(number).load().runningAt(RUNNER), "host " + number);
+                assertEquals(28, hosts.get(number).heard().size(), "host " + number);
+            }
+        }
+    }
+
+    /** The clock of a host that restarts may have been set back meanwhile. */
+    @Test
+    void aRestartedHostIsHeardWhateverItsClockSays() {
+        start(30);
+        fleet.advance(3_000);
+        for (long incarnation : List.of(5L, -5L)) {
+            fleet.kill(records.get(20));
+            fleet.advance(600);
+            HostRecord again = record(20, incarnation);
+            List<String> seeds = List.of(records.getFirst().peerAddress());
+            SimulatedFleet.Host host = fleet.start(again, seeds);
+            host.load().installRunner(runner(), 0);
+            records.set(20, again);
+            hosts.set(20, host);
+            fleet.advance(3_000);
+            assertAllHeard(hosts);
+            host.tell(sent(1));
+            fleet.advance(500);
+            hosts.forEach(other -> assertEquals(1, other.load().runningAt(RUNNER)));
+            host.tell(new LoadEvent.Ended(1));
+            fleet.advance(500);
+        }
+    }
+}
