Rehearse the data path before the first request

The class archive held only what a start without requests loads. Ruled out: cold prompts, which later new prompts show to cost 60 ms. Change: a rehearsal serves example requests between a caller and a runner inside the process, 20 in the build's training start, 300 at the first start of a fleet; a new host's entry is created in one call.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
@@ -138,19 +138,23 @@
             new StoreFollower(kind, calls, mirror, contact, loop, System::nanoTime, this::logContact, this::asksStore)
                     .start();
         }
-        new HostRegistry(self, calls, adapter.objects(), loop, mesh::found, this::needsHosts).start();
+        new HostRegistry(self, calls, adapter.objects(), loop, settings.isFirstStart(), mesh::found, this::needsHosts)
+                .start();
         mesh.start(loop);
         loop.scheduleAtFixedRate(this::everySecond, SECOND_MILLIS, SECOND_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /** In the first start of a whole fleet, hosts find each other before any asks the store. */
     private boolean asksStore() {
-        boolean isSettling = settings.isFirstStart() && System.nanoTime() - startedAt < FIRST_START_NANOS;
-        return !isSettling && mesh.isOnStoreDuty();
+        return !isSettling() && mesh.isOnStoreDuty();
     }
 
     private boolean needsHosts() {
-        return mesh.isAlone() || mesh.isOnStoreDuty();
+        return !isSettling() && (mesh.isAlone() || mesh.isOnStoreDuty());
+    }
+
+    private boolean isSettling() {
+        return settings.isFirstStart() && System.nanoTime() - startedAt < FIRST_START_NANOS;
     }
 
     private void everySecond() {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/EdgeMain.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/EdgeMain.java
@@ -100,12 +100,21 @@
         Signals.handle("INT", edge::leave);
         Signals.handle("HUP", () -> reload(log));
         if (isTraining) {
+            train(adapter);
             edge.leave();
+        } else if (settings.isFirstStart()) {
+            new Rehearsal(adapter.messages()).start(Rehearsal.FULL_ROUNDS);
         }
         edge.awaitEnd();
         return EXIT_OK;
     }
 
+    private static void train(PlatformAdapter adapter) {
+        Rehearsal rehearsal = new Rehearsal(adapter.messages());
+        rehearsal.start(Rehearsal.SHORT_ROUNDS);
+        rehearsal.await();
+    }
+
     /** Checks the changed file; the addresses and bounds of a running host stay until it starts again. */
     private void reload(DecisionLog log) {
         String outcome;
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/HostRegistry.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/HostRegistry.java
@@ -30,11 +30,13 @@
     private final ObjectDialect dialect;
     private final EventLoop loop;
     private final Consumer<HostRecord> listener;
+    private final boolean isFirstStart;
     private final BooleanSupplier needsList;
 
     /**
      * Prepares to find hosts.
      *
+     * @param isFirstStart whether the whole fleet starts for the first time
      * @param listener hears of each host of the list
      * @param needsList whether the list should be read now
      */
@@ -43,8 +45,10 @@
             StoreCalls calls,
             ObjectDialect dialect,
             EventLoop loop,
+            boolean isFirstStart,
             Consumer<HostRecord> listener,
             BooleanSupplier needsList) {
+        this.isFirstStart = isFirstStart;
         this.needsList = needsList;
         this.self = self;
         this.calls = calls;
@@ -67,7 +71,7 @@
     }
 
     private void write() {
-        calls.put(ObjectKind.HOST, self.name(), dialect.hostContent(self), outcome -> {
+        calls.put(ObjectKind.HOST, self.name(), dialect.hostContent(self), isFirstStart, outcome -> {
             if (!(outcome instanceof StoreOutcome.Written)) {
                 loop.schedule(this::write, spread(RETRY_MILLIS), TimeUnit.MILLISECONDS);
             }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/EdgeContext.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/EdgeContext.java
@@ -88,7 +88,8 @@
         return loop;
     }
 
-    long now() {
+    /** The time of the clock that all decisions use, in nanoseconds. */
+    public long now() {
         return nanos.getAsLong();
     }
 
--- a/mangowall-edge/src/main/java/org/mangowall/edge/wire/MessageDialect.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/wire/MessageDialect.java
@@ -20,4 +20,10 @@
 
     /** Decodes the head of a runner's answer. */
     RunnerAnswer readAnswer(HttpResponse head);
+
+    /** Makes the head of a caller's request with a prompt, numbered so that each has another identifier. */
+    HttpRequest exampleRequest(String hostName, String path, String key, int number);
+
+    /** Gives an answer what a runner's answer to a request has. */
+    void markExampleAnswer(HttpRequest request, HttpResponse answer);
 }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/wire/StoreCalls.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/wire/StoreCalls.java
@@ -18,8 +18,12 @@
     /** Waits for changes after a revision. */
     void watch(ObjectKind kind, long afterRevision, Duration wait, Consumer<StoreOutcome> receiver);
 
-    /** Creates or replaces an object whatever it was before. */
-    void put(ObjectKind kind, String name, byte[] content, Consumer<StoreOutcome> receiver);
+    /**
+     * Creates or replaces an object whatever it was before.
+     *
+     * @param isProbablyNew which of the two is tried first
+     */
+    void put(ObjectKind kind, String name, byte[] content, boolean isProbablyNew, Consumer<StoreOutcome> receiver);
 
     /** How a call ended. */
     sealed interface StoreOutcome {
