--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/Membership.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/Membership.java
@@ -15,9 +15,9 @@
 /** Which other hosts there are, which of them are heard, and what they report. */
 final class Membership {
 
-    /** A host that was not heard for so long is not named to callers. */
+    /** A host that was not heard for so long, six heartbeats, is not named to callers. */
     private static final long SILENT_NANOS = 1_600_000_000L;
-    /** The work of a host that was not heard for so long has ended with its connections. */
+    /** The work of a host that was not heard for so long is taken to have ended: callers have left it by then. */
     private static final long GONE_NANOS = 3_000_000_000L;
 
     private final HostRecord self;
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
@@ -32,11 +32,12 @@
  */
 public final class PeerMesh implements LoadNews, PeerChannel.Receiver {
 
-    /** A connection on which nothing is answered for so long is replaced. */
+    /** A connection on which nothing is answered for so long, several acknowledgements, is replaced. */
     private static final long UNANSWERED_NANOS = 1_800_000_000L;
     /** How long news waits for more of it, for each host of the fleet. */
     private static final long GATHER_NANOS_PER_HOST = 5_000_000L;
 
+    /** Two hosts that place within this time don't know of each other; a shorter one costs more than it saves. */
     private static final long LEAST_GATHER_NANOS = 40_000_000L;
     /** News passes up to two relays, and should arrive while it still decides something. */
     private static final long MOST_GATHER_NANOS = 100_000_000L;
@@ -44,7 +45,9 @@
     /** A relay that is silent for so long, several times its usual pause, is left for the next one. */
     private static final long SOURCE_SILENT_NANOS = 600_000_000L;
 
+    /** How often a host without news is heard: several times before it counts as silent. */
     private static final long HEARTBEAT_NANOS = 250_000_000L;
+    /** Half of the shortest time for which news waits. */
     private static final long LEAST_TICK_MILLIS = 20;
     /** How often lost hosts are looked for and connections are planned; far below the time of silence. */
     private static final long PLAN_NANOS = 100_000_000L;
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerState.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerState.java
@@ -13,8 +13,12 @@
  */
 final class PeerState {
 
+    /** A host that restarts is back within a second; it is tried a few times before that. */
     private static final long FIRST_DIAL_PAUSE_NANOS = 100_000_000L;
+
+    /** Hosts that were cut off know each other again this soon after the cut. */
     private static final long MOST_DIAL_PAUSE_NANOS = 1_000_000_000L;
+
     /** A connection that is no longer needed is kept so long: the plan may change back. */
     private static final long UNNEEDED_NANOS = 3_000_000_000L;
 
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/RelayPlan.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/RelayPlan.java
@@ -28,7 +28,9 @@
     /** So many hosts of a zone make one more relay necessary. */
     private static final int HOSTS_PER_RELAY = 16;
 
+    /** One of them may be lost. */
     private static final int LEAST_RELAYS_OF_ZONE = 2;
+    /** The one that is used and the one that takes over from it. */
     private static final int RELAYS_PER_HOST = 2;
 
     /** Copies the contacts. */
