--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/SharedRetryBudget.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/SharedRetryBudget.java
@@ -13,10 +13,8 @@
 
     private final double retriesPerRequest;
     private final double slack;
-    private final long bucketNanos;
-    private final double[] requests = new double[BUCKETS];
-    private final double[] retries = new double[BUCKETS];
-    private long currentBucket = Long.MIN_VALUE;
+    private final SlidingSum requests;
+    private final SlidingSum retries;
 
     /**
      * Starts a budget.
@@ -27,48 +25,22 @@
     public SharedRetryBudget(double retriesPerRequest, double slack, long windowNanos) {
         this.retriesPerRequest = retriesPerRequest;
         this.slack = slack;
-        this.bucketNanos = windowNanos / BUCKETS;
+        this.requests = new SlidingSum(windowNanos, BUCKETS);
+        this.retries = new SlidingSum(windowNanos, BUCKETS);
     }
 
     /** Counts a request of a caller. */
     public void recordRequest(long now) {
-        advance(now);
-        requests[slot(currentBucket)] += 1;
+        requests.add(1, now);
     }
 
     /** Takes one retry from this host's part of the budget, if there is one. */
     public boolean tryTake(int hosts, long now) {
-        advance(now);
-        double allowed = USED_SHARE * (retriesPerRequest * sum(requests) + slack / Math.max(1, hosts));
-        if (sum(retries) + 1 > allowed) {
+        double allowed = USED_SHARE * (retriesPerRequest * requests.sum(now) + slack / Math.max(1, hosts));
+        if (retries.sum(now) + 1 > allowed) {
             return false;
         }
-        retries[slot(currentBucket)] += 1;
+        retries.add(1, now);
         return true;
     }
-
-    private void advance(long now) {
-        long bucket = Math.floorDiv(now, bucketNanos);
-        if (currentBucket == Long.MIN_VALUE) {
-            currentBucket = bucket;
-        }
-        long cleared = Math.min(BUCKETS, bucket - currentBucket);
-        for (long step = 1; step <= cleared; step++) {
-            requests[slot(currentBucket + step)] = 0;
-            retries[slot(currentBucket + step)] = 0;
-        }
-        currentBucket = Math.max(currentBucket, bucket);
-    }
-
-    private static int slot(long bucket) {
-        return (int) Math.floorMod(bucket, (long) BUCKETS);
-    }
-
-    private static double sum(double[] values) {
-        double total = 0;
-        for (double value : values) {
-            total += value;
-        }
-        return total;
-    }
 }
--- /dev/null
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/SlidingSum.java
@@ -0,0 +1,44 @@
+package org.mangowall.edge.decision;
+
+/** A sum over a sliding window of time, kept in buckets. */
+final class SlidingSum {
+
+    private final long bucketNanos;
+    private final double[] buckets;
+    private long currentBucket = Long.MIN_VALUE;
+
+    SlidingSum(long windowNanos, int buckets) {
+        this.bucketNanos = windowNanos / buckets;
+        this.buckets = new double[buckets];
+    }
+
+    void add(double value, long now) {
+        advance(now);
+        buckets[slot(currentBucket)] += value;
+    }
+
+    double sum(long now) {
+        advance(now);
+        double total = 0;
+        for (double value : buckets) {
+            total += value;
+        }
+        return total;
+    }
+
+    private void advance(long now) {
+        long bucket = Math.floorDiv(now, bucketNanos);
+        if (currentBucket == Long.MIN_VALUE) {
+            currentBucket = bucket;
+        }
+        long cleared = Math.min(buckets.length, bucket - currentBucket);
+        for (long step = 1; step <= cleared; step++) {
+            buckets[slot(currentBucket + step)] = 0;
+        }
+        currentBucket = Math.max(currentBucket, bucket);
+    }
+
+    private int slot(long bucket) {
+        return (int) Math.floorMod(bucket, (long) buckets.length);
+    }
+}
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/WorkspaceShares.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/WorkspaceShares.java
@@ -1,7 +1,7 @@
 package org.mangowall.edge.decision;
 
+import java.util.Arrays;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.Map;
 
 /**
@@ -18,22 +18,22 @@
     /** When the engines bear more than their rated throughput, the largest workspaces still yield first. */
     private static final double MOST_SHARE_OF_TAKEN = 0.95;
 
-    private final long bucketNanos;
-    private final Map<String, double[]> tokensByWorkspace = new HashMap<>();
-    private long currentBucket = Long.MIN_VALUE;
+    private final long windowNanos;
+    private final Map<String, SlidingSum> tokensByWorkspace = new HashMap<>();
     private long computedAt = Long.MIN_VALUE;
     private double ratedLevel = Double.POSITIVE_INFINITY;
     private double takenLevel = Double.POSITIVE_INFINITY;
 
     /** Shares are kept over a sliding window of this length. */
     public WorkspaceShares(long windowNanos) {
-        this.bucketNanos = windowNanos / BUCKETS;
+        this.windowNanos = windowNanos;
     }
 
     /** Counts a request that was sent to a runner. */
     public void record(String workspace, double costTokens, long now) {
-        advance(now);
-        tokensByWorkspace.computeIfAbsent(workspace, name -> new double[BUCKETS])[slot(currentBucket)] += costTokens;
+        tokensByWorkspace
+                .computeIfAbsent(workspace, name -> new SlidingSum(windowNanos, BUCKETS))
+                .add(costTokens, now);
     }
 
     /**
@@ -42,26 +42,24 @@
      * @param ratedTokens what all engines are rated to bear in the window
      */
     public ShareLoad loadOf(String workspace, double ratedTokens, long now) {
-        advance(now);
         if (computedAt == Long.MIN_VALUE || now - computedAt > RECOMPUTE_NANOS) {
-            double takenByAll = tokensByWorkspace.values().stream()
-                    .mapToDouble(WorkspaceShares::sum)
-                    .sum();
-            ratedLevel = maxMinLevel(Math.min(ratedTokens, takenByAll * MOST_SHARE_OF_TAKEN));
-            takenLevel = maxMinLevel(Math.max(ratedTokens, takenByAll * MOST_SHARE_OF_TAKEN));
+            tokensByWorkspace.values().removeIf(taken -> taken.sum(now) == 0);
+            double[] takes = tokensByWorkspace.values().stream()
+                    .mapToDouble(taken -> taken.sum(now))
+                    .sorted()
+                    .toArray();
+            double takenByAll = Arrays.stream(takes).sum();
+            ratedLevel = maxMinLevel(takes, Math.min(ratedTokens, takenByAll * MOST_SHARE_OF_TAKEN));
+            takenLevel = maxMinLevel(takes, Math.max(ratedTokens, takenByAll * MOST_SHARE_OF_TAKEN));
             computedAt = now;
         }
-        double[] taken = tokensByWorkspace.get(workspace);
-        double tokens = taken == null ? 0 : sum(taken);
+        SlidingSum taken = tokensByWorkspace.get(workspace);
+        double tokens = taken == null ? 0 : taken.sum(now);
         return new ShareLoad(tokens / ratedLevel, tokens / takenLevel);
     }
 
     /** The largest take of a workspace at which the takes of all, each cut there, fit into the capacity. */
-    private double maxMinLevel(double capacityTokens) {
-        double[] takes = tokensByWorkspace.values().stream()
-                .mapToDouble(WorkspaceShares::sum)
-                .sorted()
-                .toArray();
+    private static double maxMinLevel(double[] takes, double capacityTokens) {
         double rest = capacityTokens;
         for (int index = 0; index < takes.length; index++) {
             double even = rest / (takes.length - index);
@@ -72,38 +70,4 @@
         }
         return Double.POSITIVE_INFINITY;
     }
-
-    private void advance(long now) {
-        long bucket = Math.floorDiv(now, bucketNanos);
-        if (currentBucket == Long.MIN_VALUE) {
-            currentBucket = bucket;
-        }
-        if (bucket <= currentBucket) {
-            return;
-        }
-        long cleared = Math.min(BUCKETS, bucket - currentBucket);
-        Iterator<double[]> all = tokensByWorkspace.values().iterator();
-        while (all.hasNext()) {
-            double[] taken = all.next();
-            for (long step = 1; step <= cleared; step++) {
-                taken[slot(currentBucket + step)] = 0;
-            }
-            if (sum(taken) == 0) {
-                all.remove();
-            }
-        }
-        currentBucket = bucket;
-    }
-
-    private static int slot(long bucket) {
-        return (int) Math.floorMod(bucket, (long) BUCKETS);
-    }
-
-    private static double sum(double[] values) {
-        double total = 0;
-        for (double value : values) {
-            total += value;
-        }
-        return total;
-    }
 }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
@@ -1,8 +1,6 @@
 package org.mangowall.edge.peer;
 
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -22,7 +20,6 @@
 import org.mangowall.edge.mirror.StoreMirror;
 import org.mangowall.edge.model.HostRecord;
 import org.mangowall.edge.traffic.LoadNews;
-import org.mangowall.edge.wire.ObjectKind;
 
 /**
  * Connections to other hosts: to all of them in a small fleet, to some in a large one, as {@link RelayPlan} says.
@@ -53,8 +50,6 @@
     private static final long PLAN_NANOS = 100_000_000L;
     /** How often a host that is heard is told so. */
     private static final long ACKNOWLEDGE_NANOS = 400_000_000L;
-    /** How often all of this host's work is told, to repair what was lost on the way. */
-    private static final long RESTATE_NANOS = 2_000_000_000L;
 
     /** A host that starts asks so many others what the runners keep; one of them may have just started as well. */
     private static final int PARTS_FROM_HOSTS = 2;
@@ -64,22 +59,18 @@
     private final HostRecord self;
     private final FleetLoad fleet;
     private final StoreMirror mirror;
-    private final StoreContact contact;
     private final DecisionLog log;
     private final LongSupplier nanos;
-    private final BooleanSupplier isReady;
+    private final Reporter reporter;
     private final StoreDuty duty;
     private final Dialer dialer;
     private final Membership membership;
     private final NewsBoard board = new NewsBoard();
     private final Map<String, PeerState> seeds = new HashMap<>();
     private RelayPlan plan = new RelayPlan(true, List.of());
-    private List<LoadEvent> pending = new ArrayList<>();
     private String source = "";
-    private long sequence;
     private long plannedAt;
     private long toldAt;
-    private long restatedAt;
     private long acknowledgedAt;
     private boolean hasUrgentNews;
     private int partsAsked;
@@ -116,13 +107,12 @@
         this.self = self;
         this.fleet = fleet;
         this.mirror = mirror;
-        this.contact = contact;
         this.duty = new StoreDuty(self, mirror, contact);
         this.membership = new Membership(self, fleet, contact, log);
         this.log = log;
         this.dialer = dialer;
         this.nanos = nanos;
-        this.isReady = isReady;
+        this.reporter = new Reporter(self, fleet, mirror, contact, isReady);
         this.plannedAt = nanos.getAsLong() - PLAN_NANOS;
         for (String address : seedAddresses) {
             if (!address.equals(self.peerAddress())) {
@@ -169,7 +159,7 @@
     @Override
     public void tell(LoadEvent event) {
         if (!membership.peers().isEmpty()) {
-            pending.add(event);
+            reporter.note(event);
         }
     }
 
@@ -211,7 +201,7 @@
             membership.peers().forEach(peer -> duty.tellMissing(peer, isOnDuty, now));
         }
         long gather = gatherNanos(membership.peers().size());
-        long due = pending.isEmpty() && board.isEmpty() ? Math.max(gather, HEARTBEAT_NANOS) : gather;
+        long due = !reporter.hasNews() && board.isEmpty() ? Math.max(gather, HEARTBEAT_NANOS) : gather;
         if (hasUrgentNews || now - toldAt >= due) {
             hasUrgentNews = false;
             toldAt = now;
@@ -305,32 +295,11 @@
         boolean wantsParts = partsAsked < PARTS_FROM_HOSTS;
         partsAsked += wantsParts ? 1 : 0;
         outbound.send(new PeerNews.Hello(self, role, wantsParts, known));
-        outbound.send(new PeerNews.Bundle(List.of(ownReport(Optional.of(self), fleet.ownWork(), now))));
-    }
-
-    private HostReport ownReport(Optional<HostRecord> record, List<LoadEvent> events, long now) {
-        Map<ObjectKind, Long> completeTo = new EnumMap<>(ObjectKind.class);
-        for (ObjectKind kind : ObjectKind.values()) {
-            completeTo.put(kind, mirror.completeTo(kind));
-        }
-        HostState state = new HostState(
-                isReady.getAsBoolean(),
-                !contact.isLost(),
-                TimeUnit.NANOSECONDS.toMillis(now - contact.lastOwnAnswerAt()),
-                completeTo,
-                record,
-                events);
-        sequence += 1;
-        return new HostReport(self.name(), self.incarnation(), sequence, PeerCodec.encode(state));
+        outbound.send(new PeerNews.Bundle(List.of(reporter.whole(now))));
     }
 
     private void report(long now) {
-        board.add(ownReport(Optional.empty(), pending, now));
-        pending = new ArrayList<>();
-        if (now - restatedAt >= RESTATE_NANOS) {
-            restatedAt = now;
-            board.add(ownReport(Optional.of(self), fleet.ownWork(), now));
-        }
+        reporter.next(now).forEach(board::add);
         boolean acknowledges = now - acknowledgedAt >= ACKNOWLEDGE_NANOS;
         acknowledgedAt = acknowledges ? now : acknowledgedAt;
         byte[] forRelays = PeerCodec.encode(board.forRelays());
--- a/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerMeshTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerMeshTest.java
@@ -21,9 +21,9 @@
     private static final int ZONES = 3;
     private static final String RUNNER = "runner";
 
-    private final SimulatedFleet fleet = new SimulatedFleet();
+    private final SimulatedMesh fleet = new SimulatedMesh();
     private final List<HostRecord> records = new ArrayList<>();
-    private final List<SimulatedFleet.Host> hosts = new ArrayList<>();
+    private final List<SimulatedMesh.Host> hosts = new ArrayList<>();
 
     private void start(int count) {
         for (int number = 0; number < count; number++) {
@@ -32,7 +32,7 @@
         List<String> seeds =
                 records.stream().limit(3).map(HostRecord::peerAddress).toList();
         for (HostRecord record : records) {
-            SimulatedFleet.Host host = fleet.start(record, seeds);
+            SimulatedMesh.Host host = fleet.start(record, seeds);
             host.load().installRunner(runner(), 0);
             hosts.add(host);
         }
@@ -57,8 +57,8 @@
         fleet.close();
     }
 
-    private void assertAllHeard(List<SimulatedFleet.Host> alive) {
-        for (SimulatedFleet.Host host : alive) {
+    private void assertAllHeard(List<SimulatedMesh.Host> alive) {
+        for (SimulatedMesh.Host host : alive) {
             assertEquals(alive.size() - 1, host.heard().size());
         }
     }
@@ -95,7 +95,7 @@
         long bytesBefore = fleet.bytesBetweenZones();
         int seconds = 4;
         for (int step = 0; step < seconds * 10; step++) {
-            for (SimulatedFleet.Host host : hosts) {
+            for (SimulatedMesh.Host host : hosts) {
                 host.tell(sent(step));
                 host.tell(new LoadEvent.Ended(step));
             }
@@ -116,7 +116,7 @@
         fleet.freeze(ranked.get(1));
         fleet.kill(ranked.get(2));
         fleet.advance(4_000);
-        List<SimulatedFleet.Host> alive = new ArrayList<>();
+        List<SimulatedMesh.Host> alive = new ArrayList<>();
         for (int number = 0; number < hosts.size(); number++) {
             if (ranked.indexOf(records.get(number)) > 2) {
                 alive.add(hosts.get(number));
@@ -154,7 +154,7 @@
             fleet.advance(600);
             HostRecord again = record(20, incarnation);
             List<String> seeds = List.of(records.getFirst().peerAddress());
-            SimulatedFleet.Host host = fleet.start(again, seeds);
+            SimulatedMesh.Host host = fleet.start(again, seeds);
             host.load().installRunner(runner(), 0);
             records.set(20, again);
             hosts.set(20, host);
--- a/mangowall-edge/src/test/java/org/mangowall/edge/peer/SimulatedFleet.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/peer/SimulatedMesh.java
@@ -19,7 +19,7 @@
 import org.mangowall.edge.model.HostRecord;
 
 /** Hosts that tell each other of their work, on a clock that the test advances, with the bytes that pass counted. */
-final class SimulatedFleet implements AutoCloseable {
+final class SimulatedMesh implements AutoCloseable {
 
     private static final long TICK_NANOS = 20_000_000L;
     private static final long SHARE_WINDOW_NANOS = 4_000_000_000L;
