Log how runners' responses are delimited and where they end

Change: "ended", "failed" and "silent" lines carry the framing of the last response, its body bytes, the bytes after the last whole event, that event's identifier and whether the request was written whole; a counter mangowall_runner_responses_total tells framing and end of streams. The event splitter now also watches streams that may not be resumed; their bytes are forwarded as before. No decision changes.

Ruled out: a line of its own for each response, which would double the volume.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/log/EdgeMetrics.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/log/EdgeMetrics.java
@@ -32,6 +32,11 @@
             .help("Requests that a runner shed, failed, cut or left without an answer")
             .labelNames("service", "trouble")
             .register(registry);
+    private final Counter runnerResponses = Counter.builder()
+            .name("mangowall_runner_responses_total")
+            .help("Streams that runners ended, by what delimits them and whether they ended inside an event")
+            .labelNames("service", "framing", "inside_event")
+            .register(registry);
     private final Counter storeCalls = Counter.builder()
             .name("mangowall_store_calls_total")
             .help("Calls of the platform's store, by outcome")
@@ -60,6 +65,13 @@
         runnerFailures.labelValues(service, failure).inc();
     }
 
+    /** Counts a streamed response that its runner ended. */
+    public void countRunnerResponse(String service, String framing, boolean isInsideEvent) {
+        runnerResponses
+                .labelValues(service, framing, Boolean.toString(isInsideEvent))
+                .inc();
+    }
+
     /** Counts a call to the platform's store. */
     public void countStoreCall(String outcome) {
         storeCalls.labelValues(outcome).inc();
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/EventSplitter.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/EventSplitter.java
@@ -34,9 +34,9 @@
         return events;
     }
 
-    /** Whether bytes of an incomplete event are buffered. */
-    boolean hasPendingBytes() {
-        return pending.isReadable();
+    /** The number of buffered bytes, which belong to an incomplete event. */
+    int pendingBytes() {
+        return pending.readableBytes();
     }
 
     /** Removes and returns the buffered bytes. */
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
@@ -55,6 +55,7 @@
     private Optional<String> lastEvent = Optional.empty();
     private ResponseWriter writer;
     private RunnerAttempt attempt;
+    private RunnerAttempt lastSent;
     private ScheduledFuture<?> deadline;
     private double timeoutMillis;
     private int offers;
@@ -172,6 +173,7 @@
     /** Returns the request head to send to the runner of an attempt, and counts the run. */
     HttpRequest requestHeadFor(RunnerAttempt newAttempt) {
         runs += 1;
+        lastSent = newAttempt;
         Dispatch dispatch = new Dispatch(
                 request,
                 newAttempt.runner(),
@@ -212,6 +214,11 @@
         return runs;
     }
 
+    /** The progress of the response to the last attempt that was sent. */
+    Optional<ResponseProgress> lastResponse() {
+        return Optional.ofNullable(lastSent).flatMap(RunnerAttempt::responseProgress);
+    }
+
     void recordLastEvent(String identifier) {
         lastEvent = Optional.of(identifier);
     }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/ExchangeLog.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/ExchangeLog.java
@@ -1,6 +1,7 @@
 package org.mangowall.edge.traffic;
 
 import java.io.IOException;
+import java.util.Optional;
 
 import com.fasterxml.jackson.core.JsonGenerator;
 import org.mangowall.edge.decision.PlacementDecision;
@@ -56,6 +57,7 @@
             line.writeStringField("reason", reason);
             line.writeNumberField("runs", exchange.runs());
             line.writeNumberField("elapsedMillis", Math.round(exchange.elapsedMillis()));
+            writeResponse(line, tried.responseProgress());
         });
     }
 
@@ -65,6 +67,19 @@
             line.writeStringField("outcome", outcome);
             line.writeNumberField("runs", exchange.runs());
             line.writeNumberField("elapsedMillis", Math.round(exchange.elapsedMillis()));
+            writeResponse(line, exchange.lastResponse());
         });
     }
+
+    private static void writeResponse(JsonGenerator line, Optional<ResponseProgress> progress) throws IOException {
+        if (progress.isEmpty()) {
+            return;
+        }
+        ResponseProgress response = progress.get();
+        line.writeStringField("framing", response.framing().label());
+        line.writeNumberField("bodyBytes", response.bodyBytes());
+        line.writeNumberField("unfinishedEventBytes", response.unfinishedEventBytes());
+        line.writeStringField("lastEvent", response.lastEvent().orElse(""));
+        line.writeBooleanField("isRequestWritten", response.isRequestWritten());
+    }
 }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerAttempt.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerAttempt.java
@@ -1,5 +1,6 @@
 package org.mangowall.edge.traffic;
 
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
@@ -33,6 +34,7 @@
     private boolean isDiscardingResponse;
     private boolean isStreaming;
     private boolean hasReceivedBody;
+    private long bodyBytes;
 
     RunnerAttempt(EdgeContext context, Exchange exchange, PlacementDecision.Send decision, long attemptNumber) {
         this.context = context;
@@ -162,9 +164,7 @@
             buffered = Unpooled.buffer();
             return;
         }
-        if (exchange.route().kind().isRepeatable()) {
-            splitter = new EventSplitter();
-        }
+        splitter = new EventSplitter();
     }
 
     private void rejectResponse(String reason) {
@@ -180,6 +180,7 @@
             return;
         }
         recordFirstPart();
+        bodyBytes += bytes.readableBytes();
         if (!isStreaming) {
             bufferPart(bytes);
             return;
@@ -189,6 +190,11 @@
             exchange.forward(this, head, bytes.retainedDuplicate());
             return;
         }
+        if (!exchange.route().kind().isRepeatable()) {
+            splitter.append(bytes).release();
+            exchange.forward(this, head, bytes.retainedDuplicate());
+            return;
+        }
         ByteBuf events = splitter.append(bytes);
         if (events.isReadable()) {
             splitter.lastEventIdentifier().ifPresent(exchange::recordLastEvent);
@@ -235,7 +241,9 @@
         }
         HttpResponse responseHead = head;
         if (isStreaming) {
-            ByteBuf rest = splitter == null ? Unpooled.EMPTY_BUFFER : splitter.drain();
+            boolean isResumable = exchange.route().kind().isRepeatable();
+            context.metrics().countRunnerResponse(runner().service(), framing().label(), unfinishedEventBytes() > 0);
+            ByteBuf rest = splitter == null || !isResumable ? Unpooled.EMPTY_BUFFER : splitter.drain();
             finish();
             exchange.forwardEnd(this, responseHead, rest);
             return;
@@ -257,6 +265,27 @@
         exchange.failed(this, reason);
     }
 
+    /** How far the response has got; empty before its head was received. */
+    Optional<ResponseProgress> responseProgress() {
+        if (head == null) {
+            return Optional.empty();
+        }
+        return Optional.of(new ResponseProgress(
+                framing(),
+                bodyBytes,
+                unfinishedEventBytes(),
+                splitter == null ? Optional.empty() : splitter.lastEventIdentifier(),
+                connection.isRequestWritten()));
+    }
+
+    private ResponseFraming framing() {
+        return ResponseFraming.of(head);
+    }
+
+    private int unfinishedEventBytes() {
+        return splitter == null ? 0 : splitter.pendingBytes();
+    }
+
     double elapsedMillis() {
         return (context.now() - startedAt) / Exchange.NANOS_PER_MILLI;
     }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerConnection.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerConnection.java
@@ -70,6 +70,11 @@
         requestWrite = channel.writeAndFlush(request);
     }
 
+    /** Whether the request was written without an error. */
+    boolean isRequestWritten() {
+        return requestWrite.isSuccess();
+    }
+
     /** Resumes or pauses reading, for back pressure while the caller is slower than the runner. */
     void setReading(boolean isReading) {
         channel.config().setAutoRead(isReading);
--- a/mangowall-edge/src/test/java/org/mangowall/edge/traffic/EventSplitterTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/traffic/EventSplitterTest.java
@@ -8,7 +8,6 @@
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class EventSplitterTest {
@@ -28,7 +27,7 @@
             assertTrue(first.isEmpty() || first.endsWith("\n\n") || first.endsWith("\r\n\r\n"), "split " + split);
             assertEquals(EVENTS, first + append(splitter, EVENTS.substring(split)));
             assertEquals(Optional.of("30"), splitter.lastEventIdentifier());
-            assertFalse(splitter.hasPendingBytes());
+            assertEquals(0, splitter.pendingBytes());
         }
     }
 
@@ -37,6 +36,6 @@
         EventSplitter splitter = new EventSplitter();
         assertEquals("id: 1\ndata: a\n\n", append(splitter, "id: 1\ndata: a\n\nid: 2\nda"));
         assertEquals(Optional.of("1"), splitter.lastEventIdentifier());
-        assertTrue(splitter.hasPendingBytes());
+        assertEquals("id: 2\nda".length(), splitter.pendingBytes());
     }
 }
