Treat a stream that its runner ends inside an event as broken off

Cause: the HTTP decoder reports the end of a connection as the end of a message that has neither a length nor chunks, and RunnerAttempt took the end of the message for the end of the stream: it forwarded the rest of the event and ended the response towards the caller with the last chunk. Only streams that may be resumed went through the event splitter, and there, too, its remaining bytes were forwarded as if they were an event.

Change: all event streams go through the splitter, and a stream is whole only at an event boundary, however the response is delimited. One without events must have an explicit end. Otherwise the attempt fails like one whose connection is lost: a stream that may be resumed goes on at another runner after its last whole event, any other is aborted, or answered with 502 if nothing was sent. Events that end with CR alone are recognised, so that such streams aren't taken for broken ones. Streams of another media type are still delimited by HTTP alone.

Conclusion: the end of the transport is no evidence for the end of the content; the event boundary is.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/EventSplitter.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/EventSplitter.java
@@ -6,6 +6,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.util.ByteProcessor;
 
 /** Splits a server-sent event stream into complete events, so that a stream that breaks off ends between events. */
 final class EventSplitter {
@@ -17,6 +18,7 @@
 
     private ByteBuf pending = Unpooled.buffer();
     private Optional<String> lastEventIdentifier = Optional.empty();
+    private boolean hasPassedOnUnsplit;
 
     /** Adds bytes of the stream and returns the complete events; the caller releases both buffers. */
     ByteBuf append(ByteBuf bytes) {
@@ -24,10 +26,12 @@
         int end = endOfLastEvent();
         if (end < 0) {
             if (pending.readableBytes() > MAX_EVENT_BYTES) {
+                hasPassedOnUnsplit = true;
                 return drain();
             }
             return Unpooled.EMPTY_BUFFER;
         }
+        hasPassedOnUnsplit = false;
         ByteBuf events = pending.readBytes(end - pending.readerIndex());
         pending.discardSomeReadBytes();
         recordLastIdentifier(events);
@@ -39,8 +43,12 @@
         return pending.readableBytes();
     }
 
-    /** Removes and returns the buffered bytes. */
-    ByteBuf drain() {
+    /** Whether bytes other than line ends have followed the last event boundary. */
+    boolean isInsideEvent() {
+        return hasPassedOnUnsplit || pending.forEachByte(ByteProcessor.FIND_NON_CRLF) >= 0;
+    }
+
+    private ByteBuf drain() {
         ByteBuf remaining = pending;
         pending = Unpooled.buffer();
         return remaining;
@@ -53,22 +61,32 @@
 
     private int endOfLastEvent() {
         for (int index = pending.writerIndex() - 1; index > pending.readerIndex(); index--) {
-            if (pending.getByte(index) != '\n') {
-                continue;
-            }
-            boolean isBlank = pending.getByte(index - 1) == '\n'
-                    || index - 2 >= pending.readerIndex()
-                            && pending.getByte(index - 1) == '\r'
-                            && pending.getByte(index - 2) == '\n';
-            if (isBlank) {
+            if (isBlankLineAt(index)) {
                 return index + 1;
             }
         }
         return -1;
     }
 
+    /** Whether the line that ends at an index is blank; lines end with LF, CR LF or CR. */
+    private boolean isBlankLineAt(int index) {
+        byte last = pending.getByte(index);
+        byte previous = pending.getByte(index - 1);
+        if (last == '\r') {
+            return previous == '\r';
+        }
+        if (last != '\n') {
+            return false;
+        }
+        return previous == '\n'
+                || previous == '\r' && index - 2 >= pending.readerIndex() && pending.getByte(index - 2) == '\n';
+    }
+
     private void recordLastIdentifier(ByteBuf events) {
         String text = new String(ByteBufUtil.getBytes(events), StandardCharsets.UTF_8);
+        if (text.indexOf('\r') >= 0) {
+            text = text.replace("\r\n", "\n").replace('\r', '\n');
+        }
         int field = text.startsWith(IDENTIFIER_FIELD) ? 0 : -1;
         int later = text.lastIndexOf("\n" + IDENTIFIER_FIELD);
         int start = later >= 0 ? later + 1 : field;
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
@@ -326,9 +326,9 @@
     }
 
     /** The runner completed the streamed response. */
-    void forwardEnd(RunnerAttempt source, HttpResponse responseHead, ByteBuf rest) {
+    void forwardEnd(RunnerAttempt source, HttpResponse responseHead) {
         attempt = null;
-        writer.writeLastPart(responseHead, rest);
+        writer.writeEnd(responseHead);
         finish("complete");
         caller.responseSent(writer.isKeepAlive());
     }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/ResponseWriter.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/ResponseWriter.java
@@ -7,7 +7,6 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
-import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -15,6 +14,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import org.mangowall.kernel.failure.FailureCode;
 
 /** Writes the response to a request to its caller. */
@@ -48,10 +48,10 @@
         channel.writeAndFlush(new DefaultHttpContent(bytes));
     }
 
-    /** Writes the last part of a response of unknown length. */
-    void writeLastPart(HttpResponse response, ByteBuf rest) {
+    /** Ends a response of unknown length. */
+    void writeEnd(HttpResponse response) {
         writeHeadOnce(response);
-        channel.writeAndFlush(new DefaultLastHttpContent(rest));
+        channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
     }
 
     private void writeHeadOnce(HttpResponse response) {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerAttempt.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerAttempt.java
@@ -19,6 +19,8 @@
     /** Non-streamed responses up to this size are buffered until complete, so that a failed one can be retried. */
     private static final int MAX_BUFFERED_BYTES = 1 << 20;
 
+    private static final String EVENT_STREAM = "text/event-stream";
+
     private final EdgeContext context;
     private final Exchange exchange;
     private final PlacementDecision.Send decision;
@@ -164,7 +166,15 @@
             buffered = Unpooled.buffer();
             return;
         }
-        splitter = new EventSplitter();
+        if (isEventStream(newHead)) {
+            splitter = new EventSplitter();
+        }
+    }
+
+    /** Whether the body consists of events; a runner of streams need not state the media type. */
+    private static boolean isEventStream(HttpResponse newHead) {
+        String mediaType = newHead.headers().get(HttpHeaderNames.CONTENT_TYPE, EVENT_STREAM);
+        return mediaType.regionMatches(true, 0, EVENT_STREAM, 0, EVENT_STREAM.length());
     }
 
     private void rejectResponse(String reason) {
@@ -190,11 +200,6 @@
             exchange.forward(this, head, bytes.retainedDuplicate());
             return;
         }
-        if (!exchange.route().kind().isRepeatable()) {
-            splitter.append(bytes).release();
-            exchange.forward(this, head, bytes.retainedDuplicate());
-            return;
-        }
         ByteBuf events = splitter.append(bytes);
         if (events.isReadable()) {
             splitter.lastEventIdentifier().ifPresent(exchange::recordLastEvent);
@@ -231,27 +236,41 @@
         if (isFinished) {
             return;
         }
-        boolean isServerError = head.status().code() >= 500;
-        context.fleet().recordResponse(runner().identifier(), isServerError, context.now());
-        if (isServerError) {
-            context.metrics().countRunnerFailure(runner().service(), "error");
-        } else {
-            context.fleet()
-                    .recordCompletion(runner().identifier(), (context.now() - sentAt) / Exchange.NANOS_PER_MILLI);
+        if (splitter != null) {
+            context.metrics().countRunnerResponse(runner().service(), framing().label(), splitter.isInsideEvent());
+            if (!isStreamWhole()) {
+                connectionLost("the runner ended the stream inside an event or before the first one");
+                return;
+            }
         }
-        HttpResponse responseHead = head;
+        recordCompletion();
         if (isStreaming) {
-            boolean isResumable = exchange.route().kind().isRepeatable();
-            context.metrics().countRunnerResponse(runner().service(), framing().label(), unfinishedEventBytes() > 0);
-            ByteBuf rest = splitter == null || !isResumable ? Unpooled.EMPTY_BUFFER : splitter.drain();
             finish();
-            exchange.forwardEnd(this, responseHead, rest);
+            exchange.forwardEnd(this, head);
             return;
         }
         ByteBuf body = buffered;
         buffered = Unpooled.EMPTY_BUFFER;
         finish();
-        exchange.complete(this, responseHead, body);
+        exchange.complete(this, head, body);
+    }
+
+    /** Whether the stream ended after an event. An empty one must have an explicit end. */
+    private boolean isStreamWhole() {
+        if (splitter.isInsideEvent()) {
+            return false;
+        }
+        return bodyBytes > 0 || framing() != ResponseFraming.CONNECTION_END;
+    }
+
+    private void recordCompletion() {
+        boolean isServerError = head.status().code() >= 500;
+        context.fleet().recordResponse(runner().identifier(), isServerError, context.now());
+        if (isServerError) {
+            context.metrics().countRunnerFailure(runner().service(), "error");
+            return;
+        }
+        context.fleet().recordCompletion(runner().identifier(), (context.now() - sentAt) / Exchange.NANOS_PER_MILLI);
     }
 
     @Override
--- a/mangowall-edge/src/test/java/org/mangowall/edge/traffic/EventSplitterTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/traffic/EventSplitterTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class EventSplitterTest {
@@ -31,6 +32,38 @@
         }
     }
 
+    @Test
+    void eventsWithCarriageReturnsAloneAreComplete() {
+        String events = EVENTS.replace("\r\n", "\n").replace('\n', '\r');
+        for (int split = 0; split <= events.length(); split++) {
+            EventSplitter splitter = new EventSplitter();
+            assertEquals(
+                    events, append(splitter, events.substring(0, split)) + append(splitter, events.substring(split)));
+            assertEquals(Optional.of("30"), splitter.lastEventIdentifier());
+            assertFalse(splitter.isInsideEvent());
+        }
+    }
+
+    @Test
+    void streamIsInsideAnEventExceptAtABoundary() {
+        String event = "id: 1\ndata: a\n\n";
+        for (int end = 0; end <= event.length(); end++) {
+            EventSplitter splitter = new EventSplitter();
+            append(splitter, event.substring(0, end));
+            assertEquals(end > 0 && end < event.length(), splitter.isInsideEvent(), "end " + end);
+        }
+    }
+
+    @Test
+    void streamIsInsideAnEventOfWhichAPartWasPassedOn() {
+        EventSplitter splitter = new EventSplitter();
+        String start = "data: " + "a".repeat(1 << 20);
+        assertEquals(start, append(splitter, start));
+        assertTrue(splitter.isInsideEvent());
+        assertEquals("b\n\n", append(splitter, "b\n\n"));
+        assertFalse(splitter.isInsideEvent());
+    }
+
     @Test
     void incompleteEventIsBuffered() {
         EventSplitter splitter = new EventSplitter();
