Complete an unframed response only at an orderly end of its connection

What callers would see: a response without a length and without chunks that ends as complete although its connection was lost, when the connection is closed by this host: after a failed write of the request, or while the process ends.

Cause: the same class as the truncated streams. The HTTP decoder ends such a message when the channel becomes inactive, whoever closed it. An error on reading is reported before that and was handled.

Change: connections to runners allow half-closure, so that the runner's orderly end is an event of its own; RunnerResponseDecoder ends an unframed message at that event only. The connection is closed then.

Before: RunnerConnectionTest.unframedResponseIsIncompleteIfThisHostCloses- TheConnection failed with the plain decoder (completed instead of lost).

--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerConnection.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerConnection.java
@@ -7,12 +7,15 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -46,6 +49,11 @@
         this.pool = pool;
     }
 
+    /** Adds the codec and this connection; the channel must allow half-closure. */
+    void addTo(ChannelPipeline pipeline) {
+        pipeline.addLast(new HttpRequestEncoder(), new RunnerResponseDecoder(), this);
+    }
+
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         channel = context.channel();
@@ -184,10 +192,18 @@
         }
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof ChannelInputShutdownEvent) {
+            fail("the runner closed the connection");
+        }
+        context.fireUserEventTriggered(event);
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         pool.closed(this);
-        fail("the runner closed the connection");
+        fail("the connection was closed");
     }
 
     @Override
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerConnections.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerConnections.java
@@ -13,8 +13,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import org.mangowall.edge.model.RunnerEntry;
 import org.mangowall.edge.model.ServiceDescription;
 
@@ -79,11 +77,12 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         TcpKeepAlive.apply(channel);
-                        channel.pipeline().addLast(new HttpRequestEncoder(), new HttpResponseDecoder(), connection);
+                        connection.addTo(channel.pipeline());
                     }
                 })
                 .connect(pool.runner().address());
--- /dev/null
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/traffic/RunnerConnectionTest.java
@@ -0,0 +1,140 @@
+package org.mangowall.edge.traffic;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.mangowall.edge.model.CallerRequest;
+import org.mangowall.edge.model.RunnerEntry;
+import org.mangowall.edge.model.RunnerResponse;
+import org.mangowall.edge.wire.Dispatch;
+import org.mangowall.edge.wire.HttpMessageCodec;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+/** Guards against responses that count as complete though their connection was lost. */
+class RunnerConnectionTest {
+
+    private static final String UNFRAMED = "HTTP/1.1 200 OK\r\n\r\npart";
+
+    private final Recorder recorder = new Recorder();
+    private EmbeddedChannel channel;
+
+    @BeforeEach
+    void sendRequest() {
+        RunnerEntry runner =
+                new RunnerEntry("r", 0, "plain", new InetSocketAddress("127.0.0.1", 1), "a", 1, false, Duration.ZERO);
+        RunnerConnection connection = new RunnerConnection(new PlainMessages(), new RunnerPool(runner, () -> 0L));
+        channel = new EmbeddedChannel();
+        connection.addTo(channel.pipeline());
+        connection.send(
+                new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
+                Unpooled.EMPTY_BUFFER,
+                "request-1",
+                recorder);
+    }
+
+    private void receive(String text) {
+        channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
+    }
+
+    @Test
+    void unframedResponseIsIncompleteIfThisHostClosesTheConnection() {
+        receive(UNFRAMED);
+        channel.close();
+        assertEquals(List.of("head", "part", "lost"), recorder.events);
+    }
+
+    @Test
+    void unframedResponseIsCompleteIfTheRunnerEndsTheConnection() {
+        receive(UNFRAMED);
+        channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+        assertEquals(List.of("head", "part", "completed"), recorder.events);
+        assertFalse(channel.isActive());
+    }
+
+    @Test
+    void responseShorterThanItsLengthIsIncomplete() {
+        receive("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\npart");
+        channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+        assertEquals(List.of("head", "part", "lost"), recorder.events);
+        assertFalse(channel.isActive());
+    }
+
+    private static final class Recorder implements RunnerResponseListener {
+
+        private final List<String> events = new ArrayList<>();
+
+        @Override
+        public void headReceived(HttpResponse head, RunnerResponse response) {
+            events.add("head");
+        }
+
+        @Override
+        public void bodyReceived(ByteBuf bytes) {
+            events.add(bytes.toString(StandardCharsets.US_ASCII));
+        }
+
+        @Override
+        public void responseCompleted() {
+            events.add("completed");
+        }
+
+        @Override
+        public void connectionLost(String reason) {
+            events.add("lost");
+        }
+    }
+
+    /** Responses without any headers of the platform. */
+    private static final class PlainMessages implements HttpMessageCodec {
+
+        @Override
+        public RunnerResponse readResponse(HttpResponse head) {
+            return new RunnerResponse(
+                    head.status().code(),
+                    Optional.empty(),
+                    true,
+                    false,
+                    false,
+                    Optional.empty(),
+                    Optional.empty(),
+                    false);
+        }
+
+        @Override
+        public CallerRequest readRequest(HttpRequest head) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public HttpRequest requestForRunner(HttpRequest head, Dispatch dispatch) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public HttpRequest exampleRequest(String hostName, String path, String key, int number) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void markExampleResponse(HttpRequest request, HttpResponse response) {
+            throw new UnsupportedOperationException();
+        }
+    }
+}
