Reset the connection of a caller without chunks until its response is whole

What callers would see: a caller that speaks HTTP/1.0 knows the end of a stream from the end of its connection. When the host aborted the stream, or ended while it was on its way, the connection was closed in order, and the cut stream looked complete.

Cause: the class of the truncated streams, in the other direction: the end of the connection is the end of the response, whatever ended it.

Before: TruncatedStreamTest.abortedStreamEndsWithResetForCallerWithout- Chunks failed (an orderly end). After: it passes, as do the other 7 cases and EdgeSessionTest.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/ResponseWriter.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/ResponseWriter.java
@@ -4,6 +4,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -20,6 +21,9 @@
 /** Writes the response to a request to its caller. */
 final class ResponseWriter {
 
+    private static final int RESET_ON_CLOSE = 0;
+    private static final int ORDERLY_CLOSE = -1;
+
     private final Channel channel;
     private final HttpMethod method;
     private final boolean canChunk;
@@ -51,7 +55,11 @@
     /** Ends a response of unknown length. */
     void writeEnd(HttpResponse response) {
         writeHeadOnce(response);
-        channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+        channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(written -> {
+            if (written.isSuccess() && !canChunk) {
+                channel.config().setOption(ChannelOption.SO_LINGER, ORDERLY_CLOSE);
+            }
+        });
     }
 
     private void writeHeadOnce(HttpResponse response) {
@@ -65,6 +73,8 @@
             headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         } else {
             isKeepAlive = false;
+            // The end of the connection ends this response, so until it is complete, every close must be a reset.
+            channel.config().setOption(ChannelOption.SO_LINGER, RESET_ON_CLOSE);
         }
         addConnectionClose(headers);
         channel.write(new DefaultHttpResponse(HttpVersion.HTTP_1_1, response.status(), headers));
