Check in mangowall-router that an undelimited answer reached its end

What callers would see: an answer without a length and without chunks that a runner broke off, forwarded with the outcome "complete": a plain service's stream that ends inside an event, or an engine's JSON document that lacks its end.

Cause: the class of the truncated streams: RunnerCall takes the end of the connection for the end of the answer, and the meters of plain services and of documents called every content complete.

Change: meters are created from the answer's head, which tells whether the body is delimited. A stream of events is complete between events only (EventBoundary); an undelimited document when its braces are closed. Delimited documents and unknown formats are judged by their length or chunks as before.

--- a/mangowall-router/src/main/java/org/mangowall/router/runner/CostMeter.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/runner/CostMeter.java
@@ -9,6 +9,6 @@
     /** Returns the cost known so far, in cost units. */
     double cost();
 
-    /** Whether the content read so far is a complete answer; true for formats without an end marker. */
+    /** Whether the content read so far is a complete answer; true for formats that don't show their end. */
     boolean isComplete();
 }
--- a/mangowall-router/src/main/java/org/mangowall/router/runner/DocumentCostMeter.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/runner/DocumentCostMeter.java
@@ -16,6 +16,7 @@
     private static final int USAGE_OBJECT_DEPTH = 2;
 
     private final Service service;
+    private final boolean isDelimited;
     private final JsonParser parser;
     private boolean readable = true;
     private boolean insideUsage;
@@ -24,8 +25,9 @@
     private long promptTokens;
     private long outputTokens;
 
-    DocumentCostMeter(Service service) {
+    DocumentCostMeter(Service service, boolean isDelimited) {
         this.service = service;
+        this.isDelimited = isDelimited;
         this.parser = newParser();
     }
 
@@ -90,8 +92,9 @@
         return new TokenUsage(promptTokens, outputTokens).cost(service);
     }
 
+    /** Without a length or chunks, only the document itself shows whether its end was received. */
     @Override
     public boolean isComplete() {
-        return true;
+        return isDelimited || !readable || depth == 0;
     }
 }
--- a/mangowall-router/src/main/java/org/mangowall/router/runner/ModelProtocol.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/runner/ModelProtocol.java
@@ -13,10 +13,10 @@
     }
 
     @Override
-    public CostMeter meter(Service service, int status, String contentType) {
-        if (contentType.startsWith("text/event-stream")) {
-            return new StreamCostMeter(service, status == STATUS_OK);
+    public CostMeter meter(Service service, AnswerHead head) {
+        if (head.isEventStream()) {
+            return new StreamCostMeter(service, head.status() == STATUS_OK);
         }
-        return new DocumentCostMeter(service);
+        return new DocumentCostMeter(service, head.isDelimited());
     }
 }
--- a/mangowall-router/src/main/java/org/mangowall/router/runner/PlainProtocol.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/runner/PlainProtocol.java
@@ -5,7 +5,21 @@
 /** Protocol of plain services: each call costs one unit. */
 public final class PlainProtocol implements RunnerProtocol {
 
-    private static final CostMeter ONE_CALL = new CostMeter() {
+    private static final double CALL_COST = 1.0;
+
+    @Override
+    public String pluginName() {
+        return "plain";
+    }
+
+    @Override
+    public CostMeter meter(Service service, AnswerHead head) {
+        return head.isEventStream() ? new EventStreamMeter() : new CallMeter();
+    }
+
+    /** Meters an answer whose format is unknown. */
+    private static final class CallMeter implements CostMeter {
+
         @Override
         public void accept(byte[] bytes) {
             // The content does not affect the cost.
@@ -13,22 +27,33 @@
 
         @Override
         public double cost() {
-            return 1.0;
+            return CALL_COST;
         }
 
         @Override
         public boolean isComplete() {
             return true;
         }
-    };
-
-    @Override
-    public String pluginName() {
-        return "plain";
     }
 
-    @Override
-    public CostMeter meter(Service service, int status, String contentType) {
-        return ONE_CALL;
+    /** Meters a stream of server-sent events. */
+    private static final class EventStreamMeter implements CostMeter {
+
+        private final EventBoundary boundary = new EventBoundary();
+
+        @Override
+        public void accept(byte[] bytes) {
+            boundary.accept(bytes);
+        }
+
+        @Override
+        public double cost() {
+            return CALL_COST;
+        }
+
+        @Override
+        public boolean isComplete() {
+            return !boundary.isInsideEvent();
+        }
     }
 }
--- a/mangowall-router/src/main/java/org/mangowall/router/runner/RunnerCall.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/runner/RunnerCall.java
@@ -9,7 +9,6 @@
 import java.util.function.Consumer;
 
 import io.netty.channel.Channel;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import org.asynchttpclient.AsyncHandler;
 import org.asynchttpclient.HttpResponseBodyPart;
@@ -190,8 +189,7 @@
         if (refused) {
             return State.CONTINUE;
         }
-        String contentType = headers.get(HttpHeaderNames.CONTENT_TYPE, "");
-        meter = protocol.meter(service, status, contentType);
+        meter = protocol.meter(service, AnswerHead.of(status, headers));
         listener.answerBegan();
         sink.head(runner.name(), status, HeaderRules.endToEnd(headers, List.of()));
         return State.CONTINUE;
--- a/mangowall-router/src/main/java/org/mangowall/router/runner/RunnerProtocol.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/runner/RunnerProtocol.java
@@ -6,11 +6,6 @@
 /** Protocol of a kind of service; a plug-in named after the {@code ServiceKind} in lower case. */
 public interface RunnerProtocol extends Plugin {
 
-    /**
-     * Creates the cost meter of an answer.
-     *
-     * @param status the HTTP status
-     * @param contentType the content type, empty when there is none
-     */
-    CostMeter meter(Service service, int status, String contentType);
+    /** Creates the cost meter of an answer. */
+    CostMeter meter(Service service, AnswerHead head);
 }
--- a/mangowall-router/src/main/java/org/mangowall/router/runner/StreamCostMeter.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/runner/StreamCostMeter.java
@@ -19,6 +19,7 @@
 
     private final Service service;
     private final boolean expectsEndOfStream;
+    private final EventBoundary boundary = new EventBoundary();
     private final ByteArrayOutputStream line = new ByteArrayOutputStream();
     private long eventCount;
     private double usageCost;
@@ -31,6 +32,7 @@
 
     @Override
     public void accept(byte[] bytes) {
+        boundary.accept(bytes);
         for (byte next : bytes) {
             if (next == '\n') {
                 endLine();
@@ -73,6 +75,6 @@
 
     @Override
     public boolean isComplete() {
-        return endOfStreamSeen || !expectsEndOfStream;
+        return endOfStreamSeen || !expectsEndOfStream && !boundary.isInsideEvent();
     }
 }
