Log software versions of runners and streams that callers take up

Change: a runner's entry is decoded with its software version, a request with the request whose stream it takes up. The lines "placed" and "runner" carry the version, "placed" also the event and the request that are resumed. No decision changes.

Evidence: Platform*Test, EdgeSessionTest and the warm-up tests are green.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/model/CallerRequest.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/model/CallerRequest.java
@@ -13,6 +13,7 @@
  * @param key the caller's API key
  * @param prompt the caller's description of its prompt
  * @param lastEventId identifier of the event after which a stream is to be resumed
+ * @param resumedRequest identifier of the request that brought the first event of the stream to be resumed
  */
 public record CallerRequest(
         String identifier,
@@ -21,4 +22,5 @@
         Optional<Duration> callerTimeout,
         Optional<String> key,
         Optional<PromptDescription> prompt,
-        Optional<String> lastEventId) {}
+        Optional<String> lastEventId,
+        Optional<String> resumedRequest) {}
--- a/mangowall-edge/src/main/java/org/mangowall/edge/model/RunnerEntry.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/model/RunnerEntry.java
@@ -9,6 +9,7 @@
  * @param identifier identifies one incarnation of a runner, or all its incarnations if {@code startedAtMillis} is set
  * @param startedAtMillis start time in Unix milliseconds; 0 when the runner doesn't state it
  * @param service the service to which it belongs
+ * @param softwareVersion the version of its software, not of the model that it serves; empty when it isn't stated
  * @param address the address at which it accepts requests
  * @param zone its availability zone
  * @param slots how many requests it runs concurrently
@@ -19,6 +20,7 @@
         String identifier,
         long startedAtMillis,
         String service,
+        String softwareVersion,
         InetSocketAddress address,
         String zone,
         int slots,
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
@@ -26,6 +26,7 @@
 import org.mangowall.edge.mirror.StoreMirror;
 import org.mangowall.edge.mirror.StoreWatcher;
 import org.mangowall.edge.model.HostRecord;
+import org.mangowall.edge.model.RunnerEntry;
 import org.mangowall.edge.peer.PeerMesh;
 import org.mangowall.edge.traffic.CallerConnections;
 import org.mangowall.edge.traffic.EdgeContext;
@@ -267,6 +268,8 @@
         log.write("runner", line -> {
             line.writeStringField("runner", object.name());
             line.writeNumberField("revision", object.revision());
+            line.writeStringField(
+                    "softwareVersion", entry.map(RunnerEntry::softwareVersion).orElse(""));
             line.writeBooleanField("isUsable", entry.isPresent());
             line.writeBooleanField("isLeaving", entry.isPresent() && entry.get().isDraining());
             line.writeNumberField(
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/JvmWarmUp.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/JvmWarmUp.java
@@ -153,7 +153,7 @@
                 CallerLimits.DEFAULT,
                 1));
         for (String service : List.of(STREAM_PREFIX, CALL_PREFIX)) {
-            RunnerEntry entry = new RunnerEntry(service, 0, service, runner, NAME, SLOTS, false, Duration.ZERO);
+            RunnerEntry entry = new RunnerEntry(service, 0, service, "", runner, NAME, SLOTS, false, Duration.ZERO);
             fleet.installRunner(entry, context.now());
         }
         return context;
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
@@ -219,6 +219,16 @@
         return Optional.ofNullable(lastSent).flatMap(RunnerAttempt::responseProgress);
     }
 
+    /** Identifier of the event after which the stream resumes; empty for one that begins. */
+    Optional<String> lastEvent() {
+        return lastEvent;
+    }
+
+    /** Identifier of the caller's request that began the stream. */
+    String resumedRequest() {
+        return request.resumedRequest().orElse(request.identifier());
+    }
+
     void recordLastEvent(String identifier) {
         lastEvent = Optional.of(identifier);
     }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/ExchangeLog.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/ExchangeLog.java
@@ -42,6 +42,11 @@
         context.log().write("placed", line -> {
             writeRequest(line, exchange);
             line.writeStringField("runner", decision.runner().identifier());
+            line.writeStringField("softwareVersion", decision.runner().softwareVersion());
+            if (exchange.lastEvent().isPresent()) {
+                line.writeStringField("resumesAfter", exchange.lastEvent().get());
+                line.writeStringField("resumedRequest", exchange.resumedRequest());
+            }
             line.writeNumberField("predictedMillis", Math.round(decision.predictedMillis()));
             line.writeNumberField("unreadTokens", decision.prefillTokens());
             line.writeNumberField("waitedTokens", decision.waitedTokens());
--- a/mangowall-edge/src/test/java/org/mangowall/edge/decision/Fixtures.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/decision/Fixtures.java
@@ -70,6 +70,7 @@
                 identifier,
                 0,
                 service,
+                "v1",
                 new InetSocketAddress("127.0.0.1", 1 + Math.floorMod(identifier.hashCode(), 60_000)),
                 zone,
                 service.equals(ENGINES) ? 64 : 6,
--- a/mangowall-edge/src/test/java/org/mangowall/edge/mirror/RunnerRegistryTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/mirror/RunnerRegistryTest.java
@@ -24,7 +24,7 @@
     private final RunnerRegistry registry = new RunnerRegistry(fleet, storeAvailability, removed::add);
 
     private static RunnerEntry entry() {
-        return new RunnerEntry("r", 0, "s", new InetSocketAddress("127.0.0.1", 1), "a", 6, false, Duration.ZERO);
+        return new RunnerEntry("r", 0, "s", "v1", new InetSocketAddress("127.0.0.1", 1), "a", 6, false, Duration.ZERO);
     }
 
     @BeforeEach
--- a/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerMeshTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerMeshTest.java
@@ -45,7 +45,7 @@
 
     private static RunnerEntry runner() {
         return new RunnerEntry(
-                RUNNER, 0, "engines", new InetSocketAddress("127.0.0.1", 1), "z0", 64, false, Duration.ZERO);
+                RUNNER, 0, "engines", "v1", new InetSocketAddress("127.0.0.1", 1), "z0", 64, false, Duration.ZERO);
     }
 
     private static LoadEvent.Sent sent(long number) {
--- a/mangowall-edge/src/test/java/org/mangowall/edge/traffic/RunnerConnectionTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/traffic/RunnerConnectionTest.java
@@ -37,8 +37,8 @@
 
     @BeforeEach
     void sendRequest() {
-        RunnerEntry runner =
-                new RunnerEntry("r", 0, "plain", new InetSocketAddress("127.0.0.1", 1), "a", 1, false, Duration.ZERO);
+        RunnerEntry runner = new RunnerEntry(
+                "r", 0, "plain", "v1", new InetSocketAddress("127.0.0.1", 1), "a", 1, false, Duration.ZERO);
         RunnerConnection connection = new RunnerConnection(new PlainMessages(), new RunnerPool(runner, () -> 0L));
         channel = new EmbeddedChannel();
         connection.addTo(channel.pipeline());
