Abort a broken stream for which no other runner is eligible

What callers saw: a stream that its runner broke off, and for which no other runner was eligible at that moment, neither went on nor ended: the caller waited in silence until it gave up.

Cause: Exchange.placementRejected answered with an error response although the head of the stream was already sent. The encoder refuses a second head, so nothing was written, and the connection stayed open.

Change: the request is given up like after any other lost attempt: the connection is aborted if a part was sent, or else answered with 502.

Before: TruncatedStreamTest.brokenStreamIsAbortedIfNoOtherRunnerIsEligible was still waiting when its run was ended after 60 s. After: it passes, with the other cases and EdgeSessionTest.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
@@ -146,7 +146,7 @@
     private void placementRejected(PlacementDecision.Reject rejection) {
         log.placementRejected(this, rejection);
         if (runs > 0) {
-            reject(FailureCode.RUNNER_CONNECTION_LOST, 0);
+            giveUp(FailureCode.RUNNER_CONNECTION_LOST);
             return;
         }
         reject(rejection.code(), rejection.retryAfterMillis());
