Continue a stream only at the software version that began it

Cause: a stream that goes on was placed like a new request. Placement knew neither that it continues another run nor the software version of the runners, so a broken stream went on at any runner, and one that its caller took up at any host and any runner of any service of the route.

Ruled out: runners that return at another version under an identity that hosts know; a version that changes is another incarnation now all the same.

Change: once a stream has brought an event, its origin (service and software version) binds all further placements. The event that tells other hosts of a request sent now names the origin, so that any host can place a stream that its caller takes up; a host that has just started gets the recent origins with the cached parts. A stream of unknown origin goes on only where one version alone has served for as long as streams last; otherwise, and if no runner of its version accepts requests, it is refused at once with 503 stream-version-unavailable and Retry-After.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
@@ -11,6 +11,7 @@
 
 import org.mangowall.edge.model.EngineTraits;
 import org.mangowall.edge.model.PromptPart;
+import org.mangowall.edge.model.Route;
 import org.mangowall.edge.model.RouteTable;
 import org.mangowall.edge.model.RunnerEntry;
 
@@ -33,6 +34,7 @@
     /** Parts that other hosts reported as cached at runners that the store hasn't listed yet. */
     private final Map<String, LoadEvent.PartsCached> cachedBeforeListing = new HashMap<>();
 
+    private final StreamOrigins streamOrigins = new StreamOrigins();
     private final Set<String> closedZones = new HashSet<>();
     private final WorkspaceShares shares;
     private Collection<String> hosts;
@@ -63,7 +65,7 @@
             }
         }
         outdated.forEach(entry -> {
-            removeRunner(entry.identifier());
+            removeRunner(entry.identifier(), 0);
             installRunner(entry, 0);
         });
     }
@@ -88,11 +90,11 @@
             markColdFromEntry(known, entry, now);
             return;
         }
-        removeRunner(entry.identifier());
+        removeRunner(entry.identifier(), now);
         ServiceState service = service(entry.service());
         RunnerState added = new RunnerState(entry, service.engine().orElse(null));
         runners.put(entry.identifier(), added);
-        service.runners().add(added);
+        service.addRunner(added, now);
         markColdFromEntry(added, entry, now);
         LoadEvent.PartsCached partsCached = cachedBeforeListing.remove(entry.identifier());
         if (partsCached != null) {
@@ -107,13 +109,40 @@
     }
 
     /** Removes a runner; its in-flight requests are dropped when they end. */
-    public void removeRunner(String identifier) {
+    public void removeRunner(String identifier, long now) {
         RunnerState removed = runners.remove(identifier);
         if (removed != null) {
-            service(removed.entry().service()).runners().remove(removed);
+            service(removed.entry().service()).removeRunner(removed, now);
         }
     }
 
+    /**
+     * Returns where a stream that a caller takes up began. It is empty if that isn't known and several software
+     * versions come into question, or if the route no longer leads to that service.
+     *
+     * @param request identifier of the request that began the stream; empty if the caller doesn't state it
+     */
+    public Optional<StreamOrigin> originOf(Optional<String> request, Route route, long now) {
+        Optional<StreamOrigin> recorded = request.flatMap(identifier -> streamOrigins.find(identifier, now));
+        if (recorded.isPresent()) {
+            return recorded.filter(origin -> route.leadsTo(origin.service()));
+        }
+        if (route.services().size() > 1) {
+            return Optional.empty();
+        }
+        String onlyService = route.services().getFirst().service();
+        return service(onlyService)
+                .onlySoftwareVersion(now)
+                .map(version -> new StreamOrigin(request.orElse(""), onlyService, version));
+    }
+
+    /** Returns the origins of recent streams of all hosts, for a host that has just started. */
+    public List<LoadEvent.StreamBegan> recentStreams(long now) {
+        return streamOrigins.recent(now).stream()
+                .map(LoadEvent.StreamBegan::new)
+                .toList();
+    }
+
     /** Whether other runners may fetch key-value cache from a runner, including one that takes no more requests. */
     boolean canServeCache(RunnerState runner, long now) {
         return !runner.health().isPaused(now);
@@ -190,6 +219,7 @@
         switch (event) {
             case LoadEvent.Sent sent -> {
                 sent.workspace().ifPresent(name -> shares.record(name, sent.costTokens(), now));
+                sent.stream().ifPresent(origin -> streamOrigins.record(origin, now));
                 RunnerState runner = runners.get(sent.runner());
                 if (runner != null) {
                     end(inFlight.remove(sent.number()));
@@ -206,6 +236,7 @@
             }
             case LoadEvent.Ended ended -> end(inFlight.remove(ended.number()));
             case LoadEvent.PartsCached partsCached -> recordCachedParts(partsCached);
+            case LoadEvent.StreamBegan began -> streamOrigins.record(began.origin(), now);
             case LoadEvent.Unreachable unreachable -> {
                 RunnerState runner = runners.get(unreachable.runner());
                 if (runner != null && !host.equals(self)) {
@@ -227,6 +258,7 @@
         for (LoadEvent event : running) {
             if (event instanceof LoadEvent.Sent sent) {
                 numbers.add(sent.number());
+                sent.stream().ifPresent(origin -> streamOrigins.record(origin, now));
                 RunnerState runner = runners.get(sent.runner());
                 if (runner != null && !inFlight.containsKey(sent.number())) {
                     begin(inFlight, new InFlightRequest(sent, runner, now));
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/LoadEvent.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/LoadEvent.java
@@ -18,6 +18,7 @@
      * @param prefillTokens how many prompt tokens the runner is expected to process, because they aren't cached
      * @param memoryTokens key-value cache that the request occupies when its response is complete, in tokens
      * @param costTokens engine time of the request, in tokens; 0 for a plain request
+     * @param stream where the stream began that the caller may take up; empty for other requests
      */
     record Sent(
             long number,
@@ -26,7 +27,8 @@
             List<PromptPart> parts,
             int prefillTokens,
             int memoryTokens,
-            long costTokens)
+            long costTokens,
+            Optional<StreamOrigin> stream)
             implements LoadEvent {
 
         /** Copies the list. */
@@ -56,6 +58,13 @@
      */
     record Unreachable(String runner) implements LoadEvent {}
 
+    /**
+     * A stream that began lately on any host, for a host that has just started.
+     *
+     * @param origin where the stream began
+     */
+    record StreamBegan(StreamOrigin origin) implements LoadEvent {}
+
     /**
      * Prompt parts that a runner is estimated to cache.
      *
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/Placement.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/Placement.java
@@ -71,7 +71,7 @@
                     : bestWhenUrgent;
         }
         if (best == null) {
-            return rejectWithoutRunner(service, now);
+            return rejectWithoutRunner(service, request);
         }
         double allowed = admission.allowedMillis(request, best.prefillTokens(), now);
         Candidate chosen = best.predictedMillis() <= allowed ? best : bestWhenUrgent;
@@ -93,10 +93,24 @@
         return runner.running() < slots / 2 && runner.pendingPrefillTokens() == 0;
     }
 
-    private static PlacementDecision rejectWithoutRunner(ServiceState service, long now) {
-        boolean isEmpty = service.runners().isEmpty();
-        return new PlacementDecision.Reject(
-                isEmpty ? FailureCode.NO_RUNNER : FailureCode.RUNNERS_BUSY, NO_RUNNER_RETRY_MILLIS, 0, 0);
+    private PlacementDecision rejectWithoutRunner(ServiceState service, PlacementRequest request) {
+        return new PlacementDecision.Reject(codeWithoutRunner(service, request), NO_RUNNER_RETRY_MILLIS, 0, 0);
+    }
+
+    private FailureCode codeWithoutRunner(ServiceState service, PlacementRequest request) {
+        if (service.runners().isEmpty()) {
+            return FailureCode.NO_RUNNER;
+        }
+        boolean isVersionServing = service.runners().stream()
+                .anyMatch(runner -> hasRequiredVersion(runner, request) && fleet.acceptsRequests(runner.entry()));
+        return request.softwareVersion().isPresent() && !isVersionServing
+                ? FailureCode.STREAM_VERSION_UNAVAILABLE
+                : FailureCode.RUNNERS_BUSY;
+    }
+
+    private static boolean hasRequiredVersion(RunnerState runner, PlacementRequest request) {
+        return request.softwareVersion().isEmpty()
+                || request.softwareVersion().get().equals(runner.entry().softwareVersion());
     }
 
     /**
@@ -134,7 +148,7 @@
         if (request.excluded().contains(runner.entry().identifier()) || !fleet.acceptsRequests(runner.entry())) {
             return false;
         }
-        if (runner.health().isPaused(now)) {
+        if (runner.health().isPaused(now) || !hasRequiredVersion(runner, request)) {
             return false;
         }
         if (service.engine().isEmpty()) {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/PlacementRequest.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/PlacementRequest.java
@@ -13,6 +13,7 @@
  * @param service the service chosen from the route's services
  * @param workspace the workspace of the request; empty on routes that need no API key
  * @param prompt the prompt; empty for a plain request
+ * @param softwareVersion the version of the runner's software that a stream must go on at; empty for any version
  * @param zone the availability zone of this host
  * @param excluded identifiers of runners that must not be used
  * @param elapsedMillis time since the request arrived
@@ -24,6 +25,7 @@
         String service,
         Optional<String> workspace,
         Optional<PromptDescription> prompt,
+        Optional<String> softwareVersion,
         String zone,
         Set<String> excluded,
         double elapsedMillis,
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/ServiceState.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/ServiceState.java
@@ -22,6 +22,7 @@
     private final DecayingFailureRatio failures = new DecayingFailureRatio(FAILURE_HALF_LIFE_NANOS);
     private final FirstTokenModel firstToken = new FirstTokenModel(PRIOR_MILLIS_PER_TOKEN);
     private final List<RunnerState> runners = new ArrayList<>();
+    private final SoftwareVersions softwareVersions = new SoftwareVersions();
     private Optional<ServiceDescription> description = Optional.empty();
     private double meanMillis;
 
@@ -48,6 +49,21 @@
         return runners;
     }
 
+    void addRunner(RunnerState runner, long now) {
+        runners.add(runner);
+        softwareVersions.runnerAdded(now);
+    }
+
+    void removeRunner(RunnerState runner, long now) {
+        runners.remove(runner);
+        softwareVersions.runnerRemoved(runner.entry().softwareVersion(), now);
+    }
+
+    /** The software version at which any stream that hasn't ended has begun, if there is only one. */
+    Optional<String> onlySoftwareVersion(long now) {
+        return softwareVersions.only(runners, now);
+    }
+
     FirstTokenModel firstToken() {
         return firstToken;
     }
--- /dev/null
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/StreamOrigins.java
@@ -0,0 +1,62 @@
+package org.mangowall.edge.decision;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** The origins of streams that began lately on any host. */
+final class StreamOrigins {
+
+    /** No caller takes up a stream that began longer ago. */
+    static final long RETENTION_NANOS = 30_000_000_000L;
+
+    /** Bounds the memory; beyond it, the oldest streams are forgotten first. */
+    private static final int MAX_STREAMS = 1 << 16;
+
+    private static final int MAX_IDENTIFIER_LENGTH = 64;
+
+    private final Map<String, Recorded> streams = new LinkedHashMap<>();
+
+    private record Recorded(StreamOrigin origin, long at) {}
+
+    /** Records the latest origin of a stream: one that broke off before its first event begins again elsewhere. */
+    void record(StreamOrigin origin, long now) {
+        if (origin.request().length() > MAX_IDENTIFIER_LENGTH) {
+            return;
+        }
+        streams.remove(origin.request());
+        streams.put(origin.request(), new Recorded(origin, now));
+        dropOldest(now);
+    }
+
+    private void dropOldest(long now) {
+        Iterator<Recorded> oldest = streams.values().iterator();
+        while (oldest.hasNext() && (isExpired(oldest.next(), now) || streams.size() > MAX_STREAMS)) {
+            oldest.remove();
+        }
+    }
+
+    private static boolean isExpired(Recorded recorded, long now) {
+        return now - recorded.at() > RETENTION_NANOS;
+    }
+
+    Optional<StreamOrigin> find(String request, long now) {
+        return Optional.ofNullable(streams.get(request))
+                .filter(recorded -> !isExpired(recorded, now))
+                .map(Recorded::origin);
+    }
+
+    /** Returns all origins, the oldest first. */
+    List<StreamOrigin> recent(long now) {
+        List<StreamOrigin> recent = new ArrayList<>();
+        for (Recorded recorded : streams.values()) {
+            if (!isExpired(recorded, now)) {
+                recent.add(recorded.origin());
+            }
+        }
+        return recent;
+    }
+}
--- a/mangowall-edge/src/main/java/org/mangowall/edge/mirror/RunnerRegistry.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/mirror/RunnerRegistry.java
@@ -40,7 +40,7 @@
     public void updateEntry(String identifier, Optional<RunnerEntry> entry, long now) {
         removalTimes.remove(identifier);
         if (entry.isEmpty()) {
-            remove(identifier);
+            remove(identifier, now);
             return;
         }
         fleet.installRunner(entry.get(), now);
@@ -55,7 +55,7 @@
             removalTimes.put(identifier, now + delay);
             return;
         }
-        remove(identifier);
+        remove(identifier, now);
     }
 
     /** Removes runners whose entries weren't renewed in time after an outage. */
@@ -65,13 +65,13 @@
             Map.Entry<String, Long> entry = pending.next();
             if (now >= entry.getValue()) {
                 pending.remove();
-                remove(entry.getKey());
+                remove(entry.getKey(), now);
             }
         }
     }
 
-    private void remove(String identifier) {
-        fleet.removeRunner(identifier);
+    private void remove(String identifier, long now) {
+        fleet.removeRunner(identifier, now);
         removedListener.accept(identifier);
     }
 }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/model/Route.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/model/Route.java
@@ -36,6 +36,11 @@
         services = List.copyOf(services);
     }
 
+    /** Whether requests of this route may go to a service. */
+    public boolean leadsTo(String service) {
+        return services.stream().anyMatch(weighted -> weighted.service().equals(service));
+    }
+
     /**
      * Chooses a service by weight.
      *
--- a/mangowall-edge/src/main/java/org/mangowall/edge/model/RunnerEntry.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/model/RunnerEntry.java
@@ -31,6 +31,7 @@
     public boolean isSameIncarnation(RunnerEntry other) {
         return identifier.equals(other.identifier)
                 && startedAtMillis == other.startedAtMillis
+                && softwareVersion.equals(other.softwareVersion)
                 && address.equals(other.address)
                 && service.equals(other.service);
     }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/HostMessage.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/HostMessage.java
@@ -29,11 +29,12 @@
     record Reports(List<HostReport> reports) implements HostMessage {}
 
     /**
-     * The prompt parts that runners have cached, as far as the sender knows.
+     * What a host that has just started can't know: the prompt parts that runners have cached, and where recent streams
+     * began.
      *
-     * @param partsCachedEvents one {@code PartsCached} event for each runner
+     * @param events one {@code PartsCached} event for each runner, and one {@code StreamBegan} event for each stream
      */
-    record CachedParts(List<LoadEvent> partsCachedEvents) implements HostMessage {}
+    record CachedParts(List<LoadEvent> events) implements HostMessage {}
 
     /**
      * Objects of the platform's store that the receiver lacks.
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerCodec.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerCodec.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 
 import org.mangowall.edge.decision.LoadEvent;
+import org.mangowall.edge.decision.StreamOrigin;
 import org.mangowall.edge.model.HostRecord;
 import org.mangowall.edge.model.PromptPart;
 import org.mangowall.edge.wire.ObjectKind;
@@ -32,6 +33,7 @@
     private static final int EVENT_ENDED = 3;
     private static final int EVENT_UNREACHABLE = 4;
     private static final int EVENT_PARTS_CACHED = 5;
+    private static final int EVENT_STREAM_BEGAN = 6;
 
     private PeerCodec() {}
 
@@ -53,7 +55,7 @@
                 case HostMessage.Reports reports -> packReports(packer, reports);
                 case HostMessage.CachedParts parts -> {
                     packer.packInt(MESSAGE_CACHED_PARTS);
-                    packEvents(packer, parts.partsCachedEvents());
+                    packEvents(packer, parts.events());
                 }
                 case HostMessage.StoreObjects objects -> packObjects(packer, objects);
                 case HostMessage.Acknowledgement acknowledgement -> packer.packInt(MESSAGE_ACKNOWLEDGEMENT);
@@ -122,6 +124,10 @@
                 packer.packInt(sent.prefillTokens());
                 packer.packInt(sent.memoryTokens());
                 packer.packLong(sent.costTokens());
+                packer.packBoolean(sent.stream().isPresent());
+                if (sent.stream().isPresent()) {
+                    packOrigin(packer, sent.stream().get());
+                }
             }
             case LoadEvent.ResponseStarted started ->
                 packer.packInt(EVENT_RESPONSE_STARTED).packLong(started.number());
@@ -132,9 +138,19 @@
                 packer.packInt(EVENT_PARTS_CACHED).packString(partsCached.runner());
                 packParts(packer, partsCached.parts());
             }
+            case LoadEvent.StreamBegan began -> {
+                packer.packInt(EVENT_STREAM_BEGAN);
+                packOrigin(packer, began.origin());
+            }
         }
     }
 
+    private static void packOrigin(MessageBufferPacker packer, StreamOrigin origin) throws IOException {
+        packer.packString(origin.request());
+        packer.packString(origin.service());
+        packer.packString(origin.softwareVersion());
+    }
+
     private static void packParts(MessageBufferPacker packer, List<PromptPart> parts) throws IOException {
         packer.packArrayHeader(parts.size());
         for (PromptPart part : parts) {
@@ -254,6 +270,7 @@
             case EVENT_ENDED -> new LoadEvent.Ended(unpacker.unpackLong());
             case EVENT_UNREACHABLE -> new LoadEvent.Unreachable(unpacker.unpackString());
             case EVENT_PARTS_CACHED -> new LoadEvent.PartsCached(unpacker.unpackString(), unpackParts(unpacker));
+            case EVENT_STREAM_BEGAN -> new LoadEvent.StreamBegan(unpackOrigin(unpacker));
             default -> throw new MangowallException(FailureCode.FRAME_INVALID, "unknown load event type " + type);
         };
     }
@@ -269,7 +286,12 @@
                 unpackParts(unpacker),
                 unpacker.unpackInt(),
                 unpacker.unpackInt(),
-                unpacker.unpackLong());
+                unpacker.unpackLong(),
+                unpacker.unpackBoolean() ? Optional.of(unpackOrigin(unpacker)) : Optional.empty());
+    }
+
+    private static StreamOrigin unpackOrigin(MessageUnpacker unpacker) throws IOException {
+        return new StreamOrigin(unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackString());
     }
 
     private static List<PromptPart> unpackParts(MessageUnpacker unpacker) throws IOException {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
@@ -1,5 +1,6 @@
 package org.mangowall.edge.peer;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -314,7 +315,7 @@
                 byte[] forNonRelay = peer.role().wantsAllReports() ? forNonRelays : ownOnly;
                 peer.outbound().send(peer.role().isRelay() ? forRelays : forNonRelay);
                 if (peer.takeCachedPartsRequest()) {
-                    peer.outbound().send(new HostMessage.CachedParts(List.copyOf(fleet.cachedParts())));
+                    peer.outbound().send(new HostMessage.CachedParts(handover(now)));
                 }
             }
             if (acknowledges && peer.inbound() != null && now - peer.lastInboundAt() < HEARTBEAT_INTERVAL_NANOS * 4) {
@@ -323,6 +324,12 @@
         }
     }
 
+    private List<LoadEvent> handover(long now) {
+        List<LoadEvent> events = new ArrayList<>(fleet.cachedParts());
+        events.addAll(fleet.recentStreams(now));
+        return events;
+    }
+
     @Override
     public void received(PeerChannel from, HostMessage message) {
         long now = nanoClock.getAsLong();
@@ -330,7 +337,7 @@
             case HostMessage.Hello hello -> helloReceived(from, hello, now);
             case HostMessage.Reports reports -> reportsReceived(from, reports, now);
             case HostMessage.CachedParts cachedParts ->
-                cachedParts.partsCachedEvents().forEach(partsCached -> fleet.apply(self.name(), partsCached, now));
+                cachedParts.events().forEach(event -> fleet.apply(self.name(), event, now));
             case HostMessage.StoreObjects objects ->
                 mirror.applyChanges(objects.kind(), objects.objects(), objects.asOf());
             case HostMessage.Acknowledgement acknowledgement -> acknowledged(from, now);
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
@@ -15,10 +15,13 @@
 import org.mangowall.edge.decision.LoadEvent;
 import org.mangowall.edge.decision.PlacementDecision;
 import org.mangowall.edge.decision.PlacementRequest;
+import org.mangowall.edge.decision.StreamOrigin;
 import org.mangowall.edge.model.CallerRequest;
 import org.mangowall.edge.model.PromptDescription;
+import org.mangowall.edge.model.RequestKind;
 import org.mangowall.edge.model.Route;
 import org.mangowall.edge.model.RouteTable;
+import org.mangowall.edge.model.RunnerEntry;
 import org.mangowall.edge.model.RunnerResponse;
 import org.mangowall.edge.wire.Dispatch;
 import org.mangowall.kernel.failure.FailureCode;
@@ -37,6 +40,8 @@
     private static final double NOT_READY_RETRY_AFTER_MILLIS = 500;
     /** Retry-After while the host shuts down; other hosts have taken over by then. */
     private static final double LEAVING_RETRY_AFTER_MILLIS = 50;
+    /** Retry-After for a stream whose origin this host doesn't know: reports of other hosts arrive by then. */
+    private static final double UNKNOWN_ORIGIN_RETRY_AFTER_MILLIS = 500;
     /** Retry-After once all runners tried rejected the request: one of them may have capacity again by then. */
     private static final double REJECTED_RETRY_AFTER_MILLIS = 200;
 
@@ -53,6 +58,9 @@
     private String service = "";
     private Optional<String> workspace = Optional.empty();
     private Optional<String> lastEvent = Optional.empty();
+    /** Where the stream began, once it has brought an event. */
+    private Optional<StreamOrigin> origin = Optional.empty();
+
     private ResponseWriter writer;
     private RunnerAttempt attempt;
     private RunnerAttempt lastSent;
@@ -86,7 +94,14 @@
                 .map(time -> Math.min(timeout, time.toNanos() / NANOS_PER_MILLI))
                 .orElse(timeout);
         lastEvent = request.lastEventId();
-        service = route.serviceFor(context.nextRandom());
+        if (lastEvent.isPresent() && route.kind().isStream()) {
+            origin = context.fleet().originOf(request.resumedRequest(), route, context.now());
+            if (origin.isEmpty()) {
+                reject(FailureCode.STREAM_VERSION_UNAVAILABLE, UNKNOWN_ORIGIN_RETRY_AFTER_MILLIS);
+                return;
+            }
+        }
+        service = origin.map(StreamOrigin::service).orElseGet(() -> route.serviceFor(context.nextRandom()));
         context.retryBudget(service).recordRequest(context.now());
         deadline = context.loop().schedule(this::timedOut, (long) timeoutMillis, TimeUnit.MILLISECONDS);
         place();
@@ -132,6 +147,7 @@
                 service,
                 workspace,
                 request.prompt(),
+                origin.map(StreamOrigin::softwareVersion),
                 context.zone(),
                 excludedRunners,
                 elapsedMillis(),
@@ -164,12 +180,19 @@
                 decision.prefillTokens(),
                 prompt.map(description -> description.promptTokens() + description.outputTokens())
                         .orElse(0),
-                prompt.map(PromptDescription::costTokens).orElse(0L)));
+                prompt.map(PromptDescription::costTokens).orElse(0L),
+                route.kind() == RequestKind.RESUMABLE_STREAM
+                        ? Optional.of(originAt(decision.runner()))
+                        : Optional.empty()));
         context.metrics().countSend(service, runs > 0);
         log.placed(this, decision);
         runners.acquire(decision.runner(), attempt::connected);
     }
 
+    private StreamOrigin originAt(RunnerEntry runner) {
+        return new StreamOrigin(beginningRequest(), service, runner.softwareVersion());
+    }
+
     /** Returns the request head to send to the runner of an attempt, and counts the run. */
     HttpRequest requestHeadFor(RunnerAttempt newAttempt) {
         runs += 1;
@@ -225,8 +248,8 @@
     }
 
     /** Identifier of the caller's request that began the stream. */
-    String resumedRequest() {
-        return request.resumedRequest().orElse(request.identifier());
+    String beginningRequest() {
+        return request.lastEventId().flatMap(event -> request.resumedRequest()).orElse(request.identifier());
     }
 
     void recordLastEvent(String identifier) {
@@ -326,6 +349,9 @@
 
     /** Forwards a part of a streamed response to the caller. */
     void forward(RunnerAttempt source, HttpResponse responseHead, ByteBuf bytes) {
+        if (origin.isEmpty() && route.kind().isStream()) {
+            origin = Optional.of(originAt(source.runner()));
+        }
         if (!writer.hasStarted()) {
             context.metrics().observeFirstByte(route.name(), elapsedMillis() / 1_000);
         }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/ExchangeLog.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/ExchangeLog.java
@@ -45,7 +45,7 @@
             line.writeStringField("softwareVersion", decision.runner().softwareVersion());
             if (exchange.lastEvent().isPresent()) {
                 line.writeStringField("resumesAfter", exchange.lastEvent().get());
-                line.writeStringField("resumedRequest", exchange.resumedRequest());
+                line.writeStringField("resumedRequest", exchange.beginningRequest());
             }
             line.writeNumberField("predictedMillis", Math.round(decision.predictedMillis()));
             line.writeNumberField("unreadTokens", decision.prefillTokens());
--- a/mangowall-edge/src/test/java/org/mangowall/edge/decision/ColdStartLimiterTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/decision/ColdStartLimiterTest.java
@@ -42,7 +42,7 @@
                     sentAt.add(milli);
                     fleet.apply(
                             fleet.self(),
-                            new LoadEvent.Sent(milli, "cold", Optional.of("w"), List.of(), 1, 11, 12),
+                            new LoadEvent.Sent(milli, "cold", Optional.of("w"), List.of(), 1, 11, 12, Optional.empty()),
                             now);
                 }
             }
@@ -67,7 +67,10 @@
         fleet.recordUnreachable("r", 0);
         long reachableAt = 1_000 * Fixtures.MILLI;
         fleet.recordResponse("r", false, reachableAt);
-        fleet.apply("host", new LoadEvent.Sent(1, "r", Optional.of("w"), List.of(), 1, 11, 12), reachableAt);
+        fleet.apply(
+                "host",
+                new LoadEvent.Sent(1, "r", Optional.of("w"), List.of(), 1, 11, 12, Optional.empty()),
+                reachableAt);
         assertInstanceOf(
                 PlacementDecision.Reject.class,
                 placement.decide(Fixtures.stream("w", Fixtures.prompt(10, 1), 0.5), reachableAt + Fixtures.MILLI));
--- a/mangowall-edge/src/test/java/org/mangowall/edge/decision/EngineSimulation.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/decision/EngineSimulation.java
@@ -133,7 +133,8 @@
                         prompt.parts(),
                         send.prefillTokens(),
                         prompt.promptTokens(),
-                        prompt.costTokens()),
+                        prompt.costTokens(),
+                        Optional.empty()),
                 now);
         processedTokens.merge(runner, (long) send.prefillTokens(), Long::sum);
         long begin = Math.max(now, busyUntil.getOrDefault(runner, 0L));
--- a/mangowall-edge/src/test/java/org/mangowall/edge/decision/Fixtures.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/decision/Fixtures.java
@@ -80,11 +80,21 @@
 
     static PlacementRequest stream(String workspace, PromptDescription prompt, double draw) {
         return new PlacementRequest(
-                STREAMS, ENGINES, Optional.of(workspace), Optional.of(prompt), "a", Set.of(), 0, 12_000, draw);
+                STREAMS,
+                ENGINES,
+                Optional.of(workspace),
+                Optional.of(prompt),
+                Optional.empty(),
+                "a",
+                Set.of(),
+                0,
+                12_000,
+                draw);
     }
 
     static PlacementRequest call(double draw, Set<String> excluded) {
-        return new PlacementRequest(CALLS, PLAIN, Optional.of("w"), Optional.empty(), "a", excluded, 0, 600, draw);
+        return new PlacementRequest(
+                CALLS, PLAIN, Optional.of("w"), Optional.empty(), Optional.empty(), "a", excluded, 0, 600, draw);
     }
 
     static PromptDescription prompt(int tokens, int output, long... sharedParts) {
--- a/mangowall-edge/src/test/java/org/mangowall/edge/decision/FleetLoadTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/decision/FleetLoadTest.java
@@ -21,7 +21,7 @@
     }
 
     private static LoadEvent.Sent sent(long number) {
-        return new LoadEvent.Sent(number, "r", Optional.of("w"), PARTS, 1_200, 1_300, 1_400);
+        return new LoadEvent.Sent(number, "r", Optional.of("w"), PARTS, 1_200, 1_300, 1_400, Optional.empty());
     }
 
     @Test
--- a/mangowall-edge/src/test/java/org/mangowall/edge/decision/PlacementLoadTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/decision/PlacementLoadTest.java
@@ -121,7 +121,8 @@
                             prompt.parts(),
                             send.prefillTokens(),
                             5_050,
-                            5_100),
+                            5_100,
+                            Optional.empty()),
                     request * Fixtures.MILLI);
         }
         assertEquals(1, runners.size(), "processed by " + runners);
@@ -156,7 +157,8 @@
     }
 
     private static LoadEvent.Sent sent(long number, String runner, long costTokens) {
-        return new LoadEvent.Sent(number, runner, Optional.of("w"), List.of(), 1_000, 1_000, costTokens);
+        return new LoadEvent.Sent(
+                number, runner, Optional.of("w"), List.of(), 1_000, 1_000, costTokens, Optional.empty());
     }
 
     /** A runner whose requests fail gets fewer of them, but is used when all others are excluded. */
--- a/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerCodecTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerCodecTest.java
@@ -7,6 +7,7 @@
 
 import org.junit.jupiter.api.Test;
 import org.mangowall.edge.decision.LoadEvent;
+import org.mangowall.edge.decision.StreamOrigin;
 import org.mangowall.edge.model.HostRecord;
 import org.mangowall.edge.model.PromptPart;
 import org.mangowall.edge.wire.ObjectKind;
@@ -22,6 +23,7 @@
 
     private static final HostRecord HOST = new HostRecord("h", 7, "10.0.0.1:1", "10.0.0.1:2", "a", 0.75);
 
+    private static final StreamOrigin ORIGIN = new StreamOrigin("request-1", "engines", "v1");
     private static final List<PromptPart> PARTS = List.of(new PromptPart(-1, 5), new PromptPart(Long.MAX_VALUE, 0));
 
     private static void assertRoundTrip(HostMessage message) {
@@ -61,12 +63,13 @@
                         ObjectKind.HOST, Long.MAX_VALUE),
                 Optional.of(HOST),
                 List.of(
-                        new LoadEvent.Sent(1, "r", Optional.of("w"), PARTS, 2, 3, 4),
-                        new LoadEvent.Sent(2, "r", Optional.empty(), List.of(), 0, 0, 0),
+                        new LoadEvent.Sent(1, "r", Optional.of("w"), PARTS, 2, 3, 4, Optional.of(ORIGIN)),
+                        new LoadEvent.Sent(2, "r", Optional.empty(), List.of(), 0, 0, 0, Optional.empty()),
                         new LoadEvent.ResponseStarted(1),
                         new LoadEvent.Ended(1),
                         new LoadEvent.Unreachable("r"),
-                        new LoadEvent.PartsCached("r", PARTS)));
+                        new LoadEvent.PartsCached("r", PARTS),
+                        new LoadEvent.StreamBegan(ORIGIN)));
         assertEquals(state, PeerCodec.decodeState(PeerCodec.encode(state)));
         HostState change = new HostState(false, true, 0, state.completeTo(), Optional.empty(), List.of());
         assertEquals(change, PeerCodec.decodeState(PeerCodec.encode(change)));
--- a/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerMeshTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerMeshTest.java
@@ -49,7 +49,7 @@
     }
 
     private static LoadEvent.Sent sent(long number) {
-        return new LoadEvent.Sent(number, RUNNER, Optional.of("w"), List.of(), 100, 200, 300);
+        return new LoadEvent.Sent(number, RUNNER, Optional.of("w"), List.of(), 100, 200, 300, Optional.empty());
     }
 
     @AfterEach
--- a/mangowall-kernel/src/main/java/org/mangowall/kernel/failure/FailureCode.java
+++ b/mangowall-kernel/src/main/java/org/mangowall/kernel/failure/FailureCode.java
@@ -47,6 +47,8 @@
     ROUTER_LEAVING("router-leaving", 503, NOT_RUN),
     /** No runner of the service accepts requests. */
     NO_RUNNER("no-runner", 503, NOT_RUN),
+    /** No runner accepts requests that has the software version at which the stream to be resumed began. */
+    STREAM_VERSION_UNAVAILABLE("stream-version-unavailable", 503, NOT_RUN),
     /** The request reached its queue timeout and was not sent. */
     QUEUE_TIMEOUT("queue-timeout", 503, NOT_RUN),
     /** All attempts failed, and it is certain that none of them ran. */
