Continue a response only where the forwarded part is known

What callers would see: two runs joined in one response. A repeatable document over 1 MiB is forwarded while it arrives; when its runner broke it off, a second run's document was appended to the forwarded part. A stream that may be resumed but whose events have no identifiers began anew after the events that had been forwarded.

Cause: the class of the mixed versions: a run that continues another was treated like a new one, without a check that the two fit together.

Change: once a part was forwarded, a request is retried only if the last forwarded event's identifier tells where to go on.

Before: TruncatedStreamTest.largeDocumentIsNotContinuedByAnotherRun and .streamWithoutEventIdentifiersIsNotContinuedByAnotherRun failed (two runs instead of one). After: both pass, as do StreamVersionTest and EdgeSessionTest.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
@@ -68,6 +68,7 @@
     private double timeoutMillis;
     private int offers;
     private int runs;
+    private boolean hasForwardedIdentifier;
     private boolean isFinished;
 
     Exchange(EdgeContext context, RunnerConnections runners, CallerConnection caller, HttpRequest head, ByteBuf body) {
@@ -253,6 +254,7 @@
     }
 
     void recordLastEvent(String identifier) {
+        hasForwardedIdentifier = true;
         lastEvent = Optional.of(identifier);
     }
 
@@ -305,7 +307,7 @@
     /** The runner has sent nothing for longer than its stall timeout. */
     void attemptStalled(RunnerAttempt tried) {
         log.attemptFailed(this, "silent", tried, "no data received for " + Math.round(tried.elapsedMillis()) + " ms");
-        if (route.kind().isRepeatable() && canRetry()) {
+        if (canContinue()) {
             tried.cancel();
             attempt = null;
             retry(tried);
@@ -316,13 +318,19 @@
     void failed(RunnerAttempt tried, String reason) {
         attempt = null;
         log.attemptFailed(this, "failed", tried, reason);
-        if (route.kind().isRepeatable() && canRetry()) {
+        if (canContinue()) {
             retry(tried);
             return;
         }
         giveUp(FailureCode.RUNNER_CONNECTION_LOST);
     }
 
+    /** Whether another run may give the response, or its rest after the last event that was forwarded. */
+    private boolean canContinue() {
+        boolean hasResumePoint = !writer.hasStarted() || hasForwardedIdentifier;
+        return route.kind().isRepeatable() && hasResumePoint && canRetry();
+    }
+
     private boolean canRetry() {
         return runs < route.maxRunners()
                 && remainingMillis() > MIN_REMAINING_MILLIS
@@ -373,7 +381,7 @@
     void complete(RunnerAttempt source, HttpResponse response, ByteBuf responseBody) {
         attempt = null;
         boolean isServerError = response.status().code() >= 500;
-        if (isServerError && route.kind().isRepeatable() && canRetry()) {
+        if (isServerError && canContinue()) {
             responseBody.release();
             log.attemptFailed(
                     this, "failed", source, "status " + response.status().code());
