Move a stream's origin and progress out of the exchange

What decides where a stream may go on, its origin and the last forwarded event, is in StreamPosition now; a take-up whose origin isn't known is logged with its inputs. No decision changes. StreamVersionTest, TruncatedStreamTest, EdgeSessionTest and the warm-up tests are green.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
@@ -21,7 +21,6 @@
 import org.mangowall.edge.model.RequestKind;
 import org.mangowall.edge.model.Route;
 import org.mangowall.edge.model.RouteTable;
-import org.mangowall.edge.model.RunnerEntry;
 import org.mangowall.edge.model.RunnerResponse;
 import org.mangowall.edge.wire.Dispatch;
 import org.mangowall.kernel.failure.FailureCode;
@@ -57,10 +56,7 @@
     private Route route;
     private String service = "";
     private Optional<String> workspace = Optional.empty();
-    private Optional<String> lastEvent = Optional.empty();
-    /** Where the stream began, once it has brought an event. */
-    private Optional<StreamOrigin> origin = Optional.empty();
-
+    private StreamPosition stream;
     private ResponseWriter writer;
     private RunnerAttempt attempt;
     private RunnerAttempt lastSent;
@@ -68,7 +64,6 @@
     private double timeoutMillis;
     private int offers;
     private int runs;
-    private boolean hasForwardedIdentifier;
     private boolean isFinished;
 
     Exchange(EdgeContext context, RunnerConnections runners, CallerConnection caller, HttpRequest head, ByteBuf body) {
@@ -94,15 +89,13 @@
         timeoutMillis = request.callerTimeout()
                 .map(time -> Math.min(timeout, time.toNanos() / NANOS_PER_MILLI))
                 .orElse(timeout);
-        lastEvent = request.lastEventId();
-        if (lastEvent.isPresent() && route.kind().isStream()) {
-            origin = context.fleet().originOf(request.resumedRequest(), route, context.now());
-            if (origin.isEmpty()) {
-                reject(FailureCode.STREAM_VERSION_UNAVAILABLE, UNKNOWN_ORIGIN_RETRY_AFTER_MILLIS);
-                return;
-            }
+        stream = new StreamPosition(request);
+        if (route.kind().isStream() && !stream.findOrigin(context.fleet(), route, context.now())) {
+            log.originUnknown(this);
+            reject(FailureCode.STREAM_VERSION_UNAVAILABLE, UNKNOWN_ORIGIN_RETRY_AFTER_MILLIS);
+            return;
         }
-        service = origin.map(StreamOrigin::service).orElseGet(() -> route.serviceFor(context.nextRandom()));
+        service = stream.origin().map(StreamOrigin::service).orElseGet(() -> route.serviceFor(context.nextRandom()));
         context.retryBudget(service).recordRequest(context.now());
         deadline = context.loop().schedule(this::timedOut, (long) timeoutMillis, TimeUnit.MILLISECONDS);
         place();
@@ -148,7 +141,7 @@
                 service,
                 workspace,
                 request.prompt(),
-                origin.map(StreamOrigin::softwareVersion),
+                stream.origin().map(StreamOrigin::softwareVersion),
                 context.zone(),
                 excludedRunners,
                 elapsedMillis(),
@@ -183,17 +176,13 @@
                         .orElse(0),
                 prompt.map(PromptDescription::costTokens).orElse(0L),
                 route.kind() == RequestKind.RESUMABLE_STREAM
-                        ? Optional.of(originAt(decision.runner()))
+                        ? Optional.of(stream.originAt(decision.runner()))
                         : Optional.empty()));
         context.metrics().countSend(service, runs > 0);
         log.placed(this, decision);
         runners.acquire(decision.runner(), attempt::connected);
     }
 
-    private StreamOrigin originAt(RunnerEntry runner) {
-        return new StreamOrigin(beginningRequest(), service, runner.softwareVersion());
-    }
-
     /** Returns the request head to send to the runner of an attempt, and counts the run. */
     HttpRequest requestHeadFor(RunnerAttempt newAttempt) {
         runs += 1;
@@ -204,7 +193,7 @@
                 workspace,
                 Duration.ofNanos((long) (remainingMillis() * NANOS_PER_MILLI)),
                 newAttempt.decision().cacheHolder().map(holder -> holder.address()),
-                lastEvent);
+                stream.lastEvent());
         return context.messages().requestForRunner(head, dispatch);
     }
 
@@ -243,19 +232,8 @@
         return Optional.ofNullable(lastSent).flatMap(RunnerAttempt::responseProgress);
     }
 
-    /** Identifier of the event after which the stream resumes; empty for one that begins. */
-    Optional<String> lastEvent() {
-        return lastEvent;
-    }
-
-    /** Identifier of the caller's request that began the stream. */
-    String beginningRequest() {
-        return request.lastEventId().flatMap(event -> request.resumedRequest()).orElse(request.identifier());
-    }
-
-    void recordLastEvent(String identifier) {
-        hasForwardedIdentifier = true;
-        lastEvent = Optional.of(identifier);
+    StreamPosition stream() {
+        return stream;
     }
 
     double elapsedMillis() {
@@ -327,7 +305,7 @@
 
     /** Whether another run may give the response, or its rest after the last event that was forwarded. */
     private boolean canContinue() {
-        boolean hasResumePoint = !writer.hasStarted() || hasForwardedIdentifier;
+        boolean hasResumePoint = !writer.hasStarted() || stream.hasForwardedIdentifier();
         return route.kind().isRepeatable() && hasResumePoint && canRetry();
     }
 
@@ -357,9 +335,7 @@
 
     /** Forwards a part of a streamed response to the caller. */
     void forward(RunnerAttempt source, HttpResponse responseHead, ByteBuf bytes) {
-        if (origin.isEmpty() && route.kind().isStream()) {
-            origin = Optional.of(originAt(source.runner()));
-        }
+        stream.forwardedFrom(source.runner());
         if (!writer.hasStarted()) {
             context.metrics().observeFirstByte(route.name(), elapsedMillis() / 1_000);
         }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/ExchangeLog.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/ExchangeLog.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import org.mangowall.edge.decision.PlacementDecision;
 import org.mangowall.edge.model.RouteTable;
+import org.mangowall.kernel.failure.FailureCode;
 
 /** Writes the log events of a request; {@code docs/OPERATIONS.md} lists them. */
 final class ExchangeLog {
@@ -43,10 +44,7 @@
             writeRequest(line, exchange);
             line.writeStringField("runner", decision.runner().identifier());
             line.writeStringField("softwareVersion", decision.runner().softwareVersion());
-            if (exchange.lastEvent().isPresent()) {
-                line.writeStringField("resumesAfter", exchange.lastEvent().get());
-                line.writeStringField("resumedRequest", exchange.beginningRequest());
-            }
+            writeResumption(line, exchange.stream());
             line.writeNumberField("predictedMillis", Math.round(decision.predictedMillis()));
             line.writeNumberField("unreadTokens", decision.prefillTokens());
             line.writeNumberField("waitedTokens", decision.waitedTokens());
@@ -55,6 +53,23 @@
         });
     }
 
+    private static void writeResumption(JsonGenerator line, StreamPosition stream) throws IOException {
+        if (stream.lastEvent().isPresent()) {
+            line.writeStringField("resumesAfter", stream.lastEvent().get());
+            line.writeStringField("resumedRequest", stream.beginningRequest());
+        }
+    }
+
+    void originUnknown(Exchange exchange) {
+        context.log().write("turned-away", line -> {
+            writeRequest(line, exchange);
+            line.writeStringField("code", FailureCode.STREAM_VERSION_UNAVAILABLE.code());
+            line.writeNumberField("runners", context.fleet().runnerCount());
+            line.writeNumberField("configuration", configurationVersion());
+            writeResumption(line, exchange.stream());
+        });
+    }
+
     void attemptFailed(Exchange exchange, String event, RunnerAttempt tried, String reason) {
         context.log().write(event, line -> {
             writeRequest(line, exchange);
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerAttempt.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerAttempt.java
@@ -202,7 +202,7 @@
         }
         ByteBuf events = splitter.append(bytes);
         if (events.isReadable()) {
-            splitter.lastEventIdentifier().ifPresent(exchange::recordLastEvent);
+            splitter.lastEventIdentifier().ifPresent(exchange.stream()::recordLastEvent);
             exchange.forward(this, head, events);
         }
     }
