Don't count an undelimited answer without content as complete

What callers would see: in mangowall-router, a stream or a JSON document without a length and without chunks whose runner closed the connection before the first byte, forwarded as a complete empty answer.

Cause: the class of the truncated streams; the check for unfinished content had no notion of content that never began.

Change: an undelimited stream needs a whole event, an undelimited document its first token.

Before: UndelimitedAnswerTest.anAnswerThatEndsBeforeItBeginsIsAborted failed at both routers. After: all 10 cases and RunnerFailureTest pass.

--- a/mangowall-router/src/main/java/org/mangowall/router/runner/DocumentCostMeter.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/runner/DocumentCostMeter.java
@@ -20,6 +20,7 @@
     private final JsonParser parser;
     private boolean readable = true;
     private boolean insideUsage;
+    private boolean hasBegun;
     private int depth;
     private String fieldName = "";
     private long promptTokens;
@@ -58,6 +59,7 @@
     }
 
     private void handleToken(JsonToken token) throws IOException {
+        hasBegun = true;
         switch (token) {
             case START_OBJECT, START_ARRAY -> {
                 depth++;
@@ -95,6 +97,6 @@
     /** Without a length or chunks, only the document itself shows whether its end was received. */
     @Override
     public boolean isComplete() {
-        return isDelimited || !readable || depth == 0;
+        return isDelimited || !readable || hasBegun && depth == 0;
     }
 }
--- a/mangowall-router/src/main/java/org/mangowall/router/runner/EventBoundary.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/runner/EventBoundary.java
@@ -4,6 +4,7 @@
 final class EventBoundary {
 
     private boolean isInsideEvent;
+    private boolean hasEvents;
     private boolean isLineEmpty = true;
     private boolean isAfterCarriageReturn;
 
@@ -24,6 +25,7 @@
             isInsideEvent = true;
             return;
         }
+        hasEvents |= isInsideEvent && isLineEmpty;
         isInsideEvent &= !isLineEmpty;
         isLineEmpty = true;
     }
@@ -32,4 +34,9 @@
     boolean isInsideEvent() {
         return isInsideEvent;
     }
+
+    /** Whether a whole event was received. */
+    boolean hasEvents() {
+        return hasEvents;
+    }
 }
--- a/mangowall-router/src/main/java/org/mangowall/router/runner/PlainProtocol.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/runner/PlainProtocol.java
@@ -14,7 +14,7 @@
 
     @Override
     public CostMeter meter(Service service, AnswerHead head) {
-        return head.isEventStream() ? new EventStreamMeter() : new CallMeter();
+        return head.isEventStream() ? new EventStreamMeter(head.isDelimited()) : new CallMeter();
     }
 
     /** Meters an answer whose format is unknown. */
@@ -39,8 +39,13 @@
     /** Meters a stream of server-sent events. */
     private static final class EventStreamMeter implements CostMeter {
 
+        private final boolean isDelimited;
         private final EventBoundary boundary = new EventBoundary();
 
+        EventStreamMeter(boolean isDelimited) {
+            this.isDelimited = isDelimited;
+        }
+
         @Override
         public void accept(byte[] bytes) {
             boundary.accept(bytes);
@@ -53,7 +58,7 @@
 
         @Override
         public boolean isComplete() {
-            return !boundary.isInsideEvent();
+            return !boundary.isInsideEvent() && (isDelimited || boundary.hasEvents());
         }
     }
 }
--- a/mangowall-router/src/test/java/org/mangowall/router/UndelimitedAnswerTest.java
+++ b/mangowall-router/src/test/java/org/mangowall/router/UndelimitedAnswerTest.java
@@ -70,6 +70,15 @@
         assertFalse(answer.contains(COMPLETE), answer);
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1})
+    void anAnswerThatEndsBeforeItBeginsIsAborted(int router) throws Exception {
+        String stream = callPlain(router, (call, socket) -> respond(socket, EVENTS, ""));
+        assertFalse(stream.contains(COMPLETE), stream);
+        String document = callModel(router, (call, socket) -> respond(socket, JSON, ""));
+        assertFalse(document.contains(COMPLETE), document);
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {0, 1})
     void anAnswerWhoseConnectionIsResetIsAborted(int router) throws Exception {
