Name the message to a started host a handover

Read again as a newcomer: the message carries prompt parts and the origins of streams, so it is a handover, not "cached parts"; three fields and one condition got a line where the reason isn't plain. No behaviour changes: only names, comments and log-free code, the wire's numbers stay. Peer, stream and splitter tests are green.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/SoftwareVersions.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/SoftwareVersions.java
@@ -11,7 +11,9 @@
 /** The software versions at which a stream of a service that hasn't ended yet may have begun. */
 final class SoftwareVersions {
 
+    /** When a runner of each version was last removed. */
     private final Map<String, Long> removedAt = new HashMap<>();
+    /** Since when this host knows the service's runners; what served before isn't known. */
     private OptionalLong knownSince = OptionalLong.empty();
 
     void runnerAdded(long now) {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/HostMessage.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/HostMessage.java
@@ -15,10 +15,10 @@
      *
      * @param sender the sending host
      * @param role the role of the sender towards the receiver
-     * @param wantsCachedParts whether the sender has just started and needs the prompt parts that runners have cached
+     * @param wantsHandover whether the sender has just started and needs a handover
      * @param known the other hosts that the sender knows
      */
-    record Hello(HostRecord sender, LinkRole role, boolean wantsCachedParts, List<HostRecord> known)
+    record Hello(HostRecord sender, LinkRole role, boolean wantsHandover, List<HostRecord> known)
             implements HostMessage {}
 
     /**
@@ -34,7 +34,7 @@
      *
      * @param events one {@code PartsCached} event for each runner, and one {@code StreamBegan} event for each stream
      */
-    record CachedParts(List<LoadEvent> events) implements HostMessage {}
+    record Handover(List<LoadEvent> events) implements HostMessage {}
 
     /**
      * Objects of the platform's store that the receiver lacks.
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerCodec.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerCodec.java
@@ -27,7 +27,7 @@
     private static final int MESSAGE_REPORTS = 2;
     private static final int MESSAGE_STORE_OBJECTS = 3;
     private static final int MESSAGE_ACKNOWLEDGEMENT = 4;
-    private static final int MESSAGE_CACHED_PARTS = 5;
+    private static final int MESSAGE_HANDOVER = 5;
     private static final int EVENT_SENT = 1;
     private static final int EVENT_RESPONSE_STARTED = 2;
     private static final int EVENT_ENDED = 3;
@@ -46,16 +46,16 @@
                     packer.packBoolean(hello.role().isRelay());
                     packer.packBoolean(hello.role().isNeeded());
                     packer.packBoolean(hello.role().wantsAllReports());
-                    packer.packBoolean(hello.wantsCachedParts());
+                    packer.packBoolean(hello.wantsHandover());
                     packer.packArrayHeader(hello.known().size());
                     for (HostRecord host : hello.known()) {
                         packHost(packer, host);
                     }
                 }
                 case HostMessage.Reports reports -> packReports(packer, reports);
-                case HostMessage.CachedParts parts -> {
-                    packer.packInt(MESSAGE_CACHED_PARTS);
-                    packEvents(packer, parts.events());
+                case HostMessage.Handover handover -> {
+                    packer.packInt(MESSAGE_HANDOVER);
+                    packEvents(packer, handover.events());
                 }
                 case HostMessage.StoreObjects objects -> packObjects(packer, objects);
                 case HostMessage.Acknowledgement acknowledgement -> packer.packInt(MESSAGE_ACKNOWLEDGEMENT);
@@ -189,7 +189,7 @@
                             unpacker.unpackBoolean(),
                             unpackHosts(unpacker));
                 case MESSAGE_REPORTS -> unpackReports(unpacker);
-                case MESSAGE_CACHED_PARTS -> new HostMessage.CachedParts(unpackEvents(unpacker));
+                case MESSAGE_HANDOVER -> new HostMessage.Handover(unpackEvents(unpacker));
                 case MESSAGE_STORE_OBJECTS -> unpackObjects(unpacker);
                 case MESSAGE_ACKNOWLEDGEMENT -> new HostMessage.Acknowledgement();
                 default -> throw new MangowallException(FailureCode.FRAME_INVALID, "unknown peer message type " + type);
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
@@ -53,7 +53,7 @@
     private static final long ACKNOWLEDGE_INTERVAL_NANOS = 400_000_000L;
 
     /** How many peers a starting host asks for the prompt parts cached at runners; one may have just started too. */
-    private static final int MAX_CACHED_PARTS_REQUESTS = 2;
+    private static final int MAX_HANDOVER_REQUESTS = 2;
 
     private static final byte[] ACKNOWLEDGEMENT = PeerCodec.encode(new HostMessage.Acknowledgement());
 
@@ -74,7 +74,7 @@
     private long reportedAt;
     private long acknowledgedAt;
     private boolean hasUrgentReport;
-    private int cachedPartsRequests;
+    private int handoverRequests;
 
     /**
      * Creates a mesh that knows only seed addresses.
@@ -296,9 +296,9 @@
         peer.opened(outbound, role, now);
         List<HostRecord> known =
                 membership.alive(now).stream().map(PeerState::host).toList();
-        boolean wantsCachedParts = cachedPartsRequests < MAX_CACHED_PARTS_REQUESTS;
-        cachedPartsRequests += wantsCachedParts ? 1 : 0;
-        outbound.send(new HostMessage.Hello(self, role, wantsCachedParts, known));
+        boolean wantsHandover = handoverRequests < MAX_HANDOVER_REQUESTS;
+        handoverRequests += wantsHandover ? 1 : 0;
+        outbound.send(new HostMessage.Hello(self, role, wantsHandover, known));
         outbound.send(new HostMessage.Reports(List.of(reporter.fullReport(now))));
     }
 
@@ -314,8 +314,8 @@
             if (peer.outbound() != null && peer.outbound().isWritable()) {
                 byte[] forNonRelay = peer.role().wantsAllReports() ? forNonRelays : ownOnly;
                 peer.outbound().send(peer.role().isRelay() ? forRelays : forNonRelay);
-                if (peer.takeCachedPartsRequest()) {
-                    peer.outbound().send(new HostMessage.CachedParts(handover(now)));
+                if (peer.takeHandoverRequest()) {
+                    peer.outbound().send(new HostMessage.Handover(handoverEvents(now)));
                 }
             }
             if (acknowledges && peer.inbound() != null && now - peer.lastInboundAt() < HEARTBEAT_INTERVAL_NANOS * 4) {
@@ -324,7 +324,7 @@
         }
     }
 
-    private List<LoadEvent> handover(long now) {
+    private List<LoadEvent> handoverEvents(long now) {
         List<LoadEvent> events = new ArrayList<>(fleet.cachedParts());
         events.addAll(fleet.recentStreams(now));
         return events;
@@ -336,8 +336,8 @@
         switch (message) {
             case HostMessage.Hello hello -> helloReceived(from, hello, now);
             case HostMessage.Reports reports -> reportsReceived(from, reports, now);
-            case HostMessage.CachedParts cachedParts ->
-                cachedParts.events().forEach(event -> fleet.apply(self.name(), event, now));
+            case HostMessage.Handover handover ->
+                handover.events().forEach(event -> fleet.apply(self.name(), event, now));
             case HostMessage.StoreObjects objects ->
                 mirror.applyChanges(objects.kind(), objects.objects(), objects.asOf());
             case HostMessage.Acknowledgement acknowledgement -> acknowledged(from, now);
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerState.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerState.java
@@ -34,7 +34,7 @@
     private long missingSince = Long.MAX_VALUE;
     private boolean isDialing;
     private boolean isCounted;
-    private boolean wantsCachedParts;
+    private boolean wantsHandover;
     private long lastHeardAt;
     private long lastInboundAt;
     private long acknowledgedAt;
@@ -85,7 +85,7 @@
         }
         inbound = from;
         role = hello.role();
-        wantsCachedParts |= hello.wantsCachedParts();
+        wantsHandover |= hello.wantsHandover();
     }
 
     /** Whether reports of the peer can arrive. */
@@ -206,9 +206,9 @@
     }
 
     /** Returns and clears the peer's request for the prompt parts that runners have cached. */
-    boolean takeCachedPartsRequest() {
-        boolean wasRequested = wantsCachedParts;
-        wantsCachedParts = false;
+    boolean takeHandoverRequest() {
+        boolean wasRequested = wantsHandover;
+        wantsHandover = false;
         return wasRequested;
     }
 
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/EventSplitter.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/EventSplitter.java
@@ -18,6 +18,7 @@
 
     private ByteBuf pending = Unpooled.buffer();
     private Optional<String> lastEventIdentifier = Optional.empty();
+    /** Whether the start of the current event was passed on without its end. */
     private boolean hasPassedOnUnsplit;
 
     /** Adds bytes of the stream and returns the complete events; the caller releases both buffers. */
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerAttempt.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerAttempt.java
@@ -255,7 +255,7 @@
         exchange.complete(this, head, body);
     }
 
-    /** Whether the stream ended after an event. An empty one must have an explicit end. */
+    /** Whether the stream ended between events; one without events must be delimited by chunks or a length. */
     private boolean isStreamWhole() {
         if (splitter.isInsideEvent()) {
             return false;
--- a/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerCodecTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerCodecTest.java
@@ -34,7 +34,7 @@
     void messagesRoundTrip() {
         assertRoundTrip(new HostMessage.Acknowledgement());
         assertRoundTrip(new HostMessage.Hello(HOST, new LinkRole(true, false, true), false, List.of(HOST, HOST)));
-        assertRoundTrip(new HostMessage.CachedParts(List.of(new LoadEvent.PartsCached("r", PARTS))));
+        assertRoundTrip(new HostMessage.Handover(List.of(new LoadEvent.PartsCached("r", PARTS))));
     }
 
     @Test
