Say why long identifiers of streams are not kept

Read again as a newcomer: the bound on identifiers lacked its reason, and one description told a use instead of what is recorded. Comments only.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/StreamOrigins.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/StreamOrigins.java
@@ -16,6 +16,7 @@
     /** Bounds the memory; beyond it, the oldest streams are forgotten first. */
     private static final int MAX_STREAMS = 1 << 16;
 
+    /** Callers choose the identifiers, so longer ones are not kept. */
     private static final int MAX_IDENTIFIER_LENGTH = 64;
 
     private final Map<String, Recorded> streams = new LinkedHashMap<>();
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/StreamPosition.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/StreamPosition.java
@@ -64,7 +64,7 @@
         hasForwardedIdentifier = true;
     }
 
-    /** Whether another run can go on after the last event that was forwarded. */
+    /** Whether an event with an identifier was forwarded, after which another run can go on. */
     boolean hasForwardedIdentifier() {
         return hasForwardedIdentifier;
     }
