Log what admits a request and how late a host runs its tasks

placed and turned-away lines now have allowedMillis, costTokens, shareLoad and currentShareLoad; a load line a second has the longest delay of the event loop, the active requests and the hosts. No decision changes: the admission is only passed on to the log.

LoopDelayMonitorTest, PlacementLoadTest, FleetLoadTest and EdgeSessionTest pass.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/AdmissionControl.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/AdmissionControl.java
@@ -36,14 +36,18 @@
         this.shareWindowNanos = shareWindowNanos;
     }
 
-    /** Returns the longest predicted latency at which a request is admitted, in milliseconds. */
-    double allowedMillis(PlacementRequest request, int prefillTokens, long now) {
+    /** Returns the longest predicted latency at which a request is admitted, and the usage that it depends on. */
+    Admission admissionOf(PlacementRequest request, int prefillTokens, long now) {
+        FairShareUsage usage = fairShareUsage(request, now);
+        return new Admission(allowedMillis(request, prefillTokens, usage), usage);
+    }
+
+    private double allowedMillis(PlacementRequest request, int prefillTokens, FairShareUsage usage) {
         if (request.prompt().isEmpty()) {
             return PLAIN_TIMEOUT_FRACTION * request.remainingMillis();
         }
         double goalMillis = request.route().latencyGoal().toMillis();
         double remainingMillis = Math.max(goalMillis - request.elapsedMillis(), goalMillis / 2);
-        FairShareUsage usage = fairShareUsage(request, now);
         double allowed = remainingMillis * valueFactor(request.prompt().get(), prefillTokens);
         if (usage.ofRatedShare() <= 1) {
             double longPromptMillis = LONG_PROMPT_FACTOR * fleet.idleFirstTokenMillis(request.service(), prefillTokens);
@@ -66,13 +70,16 @@
         return Math.clamp(valuePerToken, MIN_VALUE_FACTOR, 1);
     }
 
-    PlacementDecision reject(PlacementRequest request, double predictedMillis, double allowed, long now) {
-        double usage = fairShareUsage(request, now).ofRatedShare();
+    PlacementDecision reject(double predictedMillis, Admission admission) {
+        double usage = admission.usage().ofRatedShare();
         double untilFairShareMillis = usage <= 1 ? 0 : (usage - 1) / usage * shareWindowNanos / 1e6;
-        double waitMillis = Math.max(predictedMillis - allowed, untilFairShareMillis);
+        double waitMillis = Math.max(predictedMillis - admission.allowedMillis(), untilFairShareMillis);
         FailureCode code = usage > 1 ? FailureCode.WORKSPACE_OVER_SHARE : FailureCode.RUNNERS_BUSY;
         return new PlacementDecision.Reject(
-                code, Math.clamp(waitMillis, MIN_RETRY_AFTER_MILLIS, MAX_RETRY_AFTER_MILLIS), predictedMillis, usage);
+                code,
+                Math.clamp(waitMillis, MIN_RETRY_AFTER_MILLIS, MAX_RETRY_AFTER_MILLIS),
+                predictedMillis,
+                admission);
     }
 
     private FairShareUsage fairShareUsage(PlacementRequest request, long now) {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/FairShareUsage.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/FairShareUsage.java
@@ -6,7 +6,7 @@
  * @param ofRatedShare multiple of its share of the rated throughput of the engines
  * @param ofCurrentShare multiple of its share of the current throughput, if that is higher than the rated one
  */
-record FairShareUsage(double ofRatedShare, double ofCurrentShare) {
+public record FairShareUsage(double ofRatedShare, double ofCurrentShare) {
 
     static final FairShareUsage NONE = new FairShareUsage(0, 0);
 }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/Placement.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/Placement.java
@@ -41,7 +41,7 @@
     private static final double NO_RUNNER_RETRY_MILLIS = 500;
 
     private final FleetLoad fleet;
-    private final AdmissionControl admission;
+    private final AdmissionControl admissionControl;
 
     /**
      * Creates a placement over the state of the fleet.
@@ -50,7 +50,7 @@
      */
     public Placement(FleetLoad fleet, long shareWindowNanos) {
         this.fleet = fleet;
-        this.admission = new AdmissionControl(fleet, shareWindowNanos);
+        this.admissionControl = new AdmissionControl(fleet, shareWindowNanos);
     }
 
     /** Chooses a runner for a request or rejects it. */
@@ -73,17 +73,19 @@
         if (best == null) {
             return rejectWithoutRunner(service, request);
         }
-        double allowed = admission.allowedMillis(request, best.prefillTokens(), now);
+        Admission admission = admissionControl.admissionOf(request, best.prefillTokens(), now);
+        double allowed = admission.allowedMillis();
         Candidate chosen = best.predictedMillis() <= allowed ? best : bestWhenUrgent;
         if (chosen.predictedMillis() > allowed && !hasSpareCapacity(service, chosen)) {
-            return admission.reject(request, chosen.predictedMillis(), allowed, now);
+            return admissionControl.reject(chosen.predictedMillis(), admission);
         }
         return new PlacementDecision.Send(
                 chosen.runner().entry(),
                 chosen.cacheHolder().map(RunnerState::entry),
                 chosen.prefillTokens(),
                 chosen.waitedTokens(),
-                chosen.predictedMillis());
+                chosen.predictedMillis(),
+                admission);
     }
 
     /** Whether less than half of the slots are in use and no prompt is pending; such a runner takes every request. */
@@ -94,7 +96,8 @@
     }
 
     private PlacementDecision rejectWithoutRunner(ServiceState service, PlacementRequest request) {
-        return new PlacementDecision.Reject(codeWithoutRunner(service, request), NO_RUNNER_RETRY_MILLIS, 0, 0);
+        return new PlacementDecision.Reject(
+                codeWithoutRunner(service, request), NO_RUNNER_RETRY_MILLIS, 0, Admission.NONE);
     }
 
     private FailureCode codeWithoutRunner(ServiceState service, PlacementRequest request) {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/PlacementDecision.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/PlacementDecision.java
@@ -16,13 +16,15 @@
      * @param prefillTokens how many prompt tokens it must process itself
      * @param waitedTokens tokens that it processes before the first output token, including requests ahead
      * @param predictedMillis predicted time to the first part of the response
+     * @param admission why the request is admitted
      */
     record Send(
             RunnerEntry runner,
             Optional<RunnerEntry> cacheHolder,
             int prefillTokens,
             long waitedTokens,
-            double predictedMillis)
+            double predictedMillis,
+            Admission admission)
             implements PlacementDecision {}
 
     /**
@@ -31,8 +33,8 @@
      * @param code the reason
      * @param retryAfterMillis time after which a retry is likely to be served
      * @param predictedMillis predicted time to the first part of the response; 0 when there is no runner
-     * @param fairShareUsage usage of the workspace as a multiple of its fair share
+     * @param admission why the request isn't admitted
      */
-    record Reject(FailureCode code, double retryAfterMillis, double predictedMillis, double fairShareUsage)
+    record Reject(FailureCode code, double retryAfterMillis, double predictedMillis, Admission admission)
             implements PlacementDecision {}
 }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
@@ -158,6 +158,7 @@
                 .start();
         mesh.start(loop);
         loop.scheduleAtFixedRate(this::dropExpired, EXPIRY_CHECK_MILLIS, EXPIRY_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+        new LoopDelayMonitor(loop, System::nanoTime, this::logLoad).start();
     }
 
     /** When a whole fleet starts for the first time, hosts discover each other before any of them reads the store. */
@@ -179,6 +180,14 @@
         fleet.dropExpiredRequests(now);
     }
 
+    private void logLoad(long loopDelayNanos) {
+        log.write("load", line -> {
+            line.writeNumberField("loopDelayMillis", TimeUnit.NANOSECONDS.toMillis(loopDelayNanos));
+            line.writeNumberField("activeRequests", callers.activeRequests());
+            line.writeNumberField("hosts", fleet.hostCount());
+        });
+    }
+
     private void logStoreAvailability(String change) {
         log.write("store", line -> line.writeStringField("change", change));
     }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
@@ -174,7 +174,7 @@
                 decision.prefillTokens(),
                 prompt.map(description -> description.promptTokens() + description.outputTokens())
                         .orElse(0),
-                prompt.map(PromptDescription::costTokens).orElse(0L),
+                costTokens(),
                 route.kind() == RequestKind.RESUMABLE_STREAM
                         ? Optional.of(stream.originAt(decision.runner()))
                         : Optional.empty()));
@@ -217,6 +217,11 @@
         return workspace;
     }
 
+    /** The estimated engine time of the request, in tokens; 0 for a plain request. */
+    long costTokens() {
+        return request.prompt().map(PromptDescription::costTokens).orElse(0L);
+    }
+
     /** The number of times the request was offered to a runner. */
     int offers() {
         return offers;
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/ExchangeLog.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/ExchangeLog.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import com.fasterxml.jackson.core.JsonGenerator;
+import org.mangowall.edge.decision.Admission;
 import org.mangowall.edge.decision.PlacementDecision;
 import org.mangowall.edge.model.RouteTable;
 import org.mangowall.kernel.failure.FailureCode;
@@ -32,7 +33,7 @@
             writeRequest(line, exchange);
             line.writeStringField("code", rejection.code().code());
             line.writeNumberField("predictedMillis", Math.round(rejection.predictedMillis()));
-            line.writeNumberField("shareLoad", rejection.fairShareUsage());
+            writeAdmission(line, exchange, rejection.admission());
             line.writeNumberField("runners", context.fleet().runnerCount());
             line.writeNumberField("configuration", configurationVersion());
             line.writeNumberField("offers", exchange.offers());
@@ -46,6 +47,7 @@
             line.writeStringField("softwareVersion", decision.runner().softwareVersion());
             writeResumption(line, exchange.stream());
             line.writeNumberField("predictedMillis", Math.round(decision.predictedMillis()));
+            writeAdmission(line, exchange, decision.admission());
             line.writeNumberField("unreadTokens", decision.prefillTokens());
             line.writeNumberField("waitedTokens", decision.waitedTokens());
             line.writeNumberField("configuration", configurationVersion());
@@ -53,6 +55,17 @@
         });
     }
 
+    private static void writeAdmission(JsonGenerator line, Exchange exchange, Admission admission) throws IOException {
+        line.writeNumberField("allowedMillis", Math.round(admission.allowedMillis()));
+        line.writeNumberField("costTokens", exchange.costTokens());
+        line.writeNumberField("shareLoad", rounded(admission.usage().ofRatedShare()));
+        line.writeNumberField("currentShareLoad", rounded(admission.usage().ofCurrentShare()));
+    }
+
+    private static double rounded(double ratio) {
+        return Math.round(ratio * 100) / 100.0;
+    }
+
     private static void writeResumption(JsonGenerator line, StreamPosition stream) throws IOException {
         if (stream.lastEvent().isPresent()) {
             line.writeStringField("resumesAfter", stream.lastEvent().get());
