Count what was turned away in the shares of workspaces

Cause: fair shares were max-min over what was sent. A workspace that is refused looks content with what it got, so its unmet part went to the share of the larger one, whose usage was never far above that share, and both had nearly the same allowed latency. Whoever's host predicts a little more then loses everything: the larger workspace keeps the queue at its own limit, which the crowded host always finds exceeded.

Ruled out as the cause: connection limits (4 not-reached lines in the span), the store, restarts. A host's own delay in its predictions is what makes a host crowded; it can't be taken out, since callers there do wait that long.

Change: hosts tell each other what they turn away, summed up for each report; it counts as asked for. The allowed latency follows the ratio of usage to the share of the current throughput both ways, so that a workspace under its share may wait longer, at most twice, and those over it are rejected first.

A host of an older build drops the connection of a peer that sends the new event, as with each event added before.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/Admission.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/Admission.java
@@ -8,5 +8,5 @@
  */
 public record Admission(double allowedMillis, FairShareUsage usage) {
 
-    static final Admission NONE = new Admission(0, FairShareUsage.NONE);
+    static final Admission NONE = new Admission(0, FairShareUsage.EQUAL);
 }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/AdmissionControl.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/AdmissionControl.java
@@ -10,10 +10,10 @@
     private static final double GOAL_FRACTION = 0.85;
     /** How fast that fraction shrinks as a workspace exceeds its share of the rated capacity. */
     private static final double OVERUSE_EXPONENT = 0.5;
-    /** Usage, as a multiple of the current fair share, up to which the allowed latency isn't reduced further. */
-    private static final double REDUCTION_START_USAGE = 1.5;
-    /** Usage, as a multiple of the current fair share, from which a workspace gets only idle slots. */
-    private static final double REDUCTION_END_USAGE = 2.5;
+    /** How fast it grows or shrinks as a workspace uses less or more than its share of the current throughput. */
+    private static final double BALANCE_EXPONENT = 1;
+    /** How much the allowed latency of a workspace grows at most while it uses less than its share. */
+    private static final double MAX_BALANCE_FACTOR = 2;
     /** A prompt that an idle engine can't process within the goal is allowed this multiple of its processing time. */
     private static final double LONG_PROMPT_FACTOR = 1.25;
     /** Lower bound of the factor for requests with long prompts and short outputs. */
@@ -51,16 +51,19 @@
         double allowed = remainingMillis * valueFactor(request.prompt().get(), prefillTokens);
         if (usage.ofRatedShare() <= 1) {
             double longPromptMillis = LONG_PROMPT_FACTOR * fleet.idleFirstTokenMillis(request.service(), prefillTokens);
-            return Math.min(Math.max(allowed * GOAL_FRACTION, longPromptMillis), request.remainingMillis());
+            return Math.min(
+                    Math.max(allowed * GOAL_FRACTION * balanceFactor(usage), longPromptMillis),
+                    request.remainingMillis());
         }
-        return Math.min(allowed * overuseGoalFraction(usage), request.remainingMillis());
+        double overuseFactor = Math.pow(usage.ofRatedShare(), -OVERUSE_EXPONENT);
+        double balanceFactor = balanceFactor(usage);
+        double factor = balanceFactor < 1 ? Math.min(overuseFactor, balanceFactor) : overuseFactor * balanceFactor;
+        return Math.min(allowed * GOAL_FRACTION * factor, request.remainingMillis());
     }
 
-    private static double overuseGoalFraction(FairShareUsage usage) {
-        double fraction = GOAL_FRACTION * Math.pow(usage.ofRatedShare(), -OVERUSE_EXPONENT);
-        double reduction = Math.clamp(
-                (usage.ofCurrentShare() - REDUCTION_START_USAGE) / (REDUCTION_END_USAGE - REDUCTION_START_USAGE), 0, 1);
-        return fraction * (1 - reduction);
+    /** Lets workspaces below their share wait longer than those above it, so that the latter are rejected first. */
+    private static double balanceFactor(FairShareUsage usage) {
+        return Math.min(Math.pow(usage.ofCurrentShare(), -BALANCE_EXPONENT), MAX_BALANCE_FACTOR);
     }
 
     private static double valueFactor(PromptDescription prompt, int prefillTokens) {
@@ -85,6 +88,6 @@
     private FairShareUsage fairShareUsage(PlacementRequest request, long now) {
         return request.workspace()
                 .map(name -> fleet.fairShareUsage(name, shareWindowNanos, now))
-                .orElse(FairShareUsage.NONE);
+                .orElse(FairShareUsage.EQUAL);
     }
 }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
@@ -235,6 +235,8 @@
                 }
             }
             case LoadEvent.Ended ended -> end(inFlight.remove(ended.number()));
+            case LoadEvent.TurnedAway turnedAway ->
+                shares.recordTurnedAway(turnedAway.workspace(), turnedAway.costTokens(), now);
             case LoadEvent.PartsCached partsCached -> recordCachedParts(partsCached);
             case LoadEvent.StreamBegan began -> streamOrigins.record(began.origin(), now);
             case LoadEvent.Unreachable unreachable -> {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/LoadEvent.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/LoadEvent.java
@@ -51,6 +51,14 @@
      */
     record Ended(long number) implements LoadEvent {}
 
+    /**
+     * Requests of a workspace were turned away because the fleet is busy.
+     *
+     * @param workspace the workspace
+     * @param costTokens their engine time, in tokens
+     */
+    record TurnedAway(String workspace, long costTokens) implements LoadEvent {}
+
     /**
      * A runner couldn't be reached.
      *
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/WorkspaceShares.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/WorkspaceShares.java
@@ -1,13 +1,13 @@
 package org.mangowall.edge.decision;
 
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
 
 /**
- * Compares the engine usage of each workspace with its max-min fair share.
+ * Compares the engine usage of each workspace with its max-min fair share of what all workspaces ask for.
  *
- * <p>When a few workspaces send many times their usual load, their excess is rejected first.
+ * <p>What was turned away counts as asked: a workspace that is refused most of its requests still has a claim to its
+ * share, and those that use more than theirs are rejected first.
  */
 public final class WorkspaceShares {
 
@@ -23,6 +23,7 @@
 
     private final long windowNanos;
     private final Map<String, SlidingWindowSum> tokensByWorkspace = new HashMap<>();
+    private final Map<String, SlidingWindowSum> turnedAwayByWorkspace = new HashMap<>();
     private long computedAt = Long.MIN_VALUE;
     private double ratedShare = Double.POSITIVE_INFINITY;
     private double currentShare = Double.POSITIVE_INFINITY;
@@ -34,9 +35,16 @@
 
     /** Adds the cost of a request that was sent to a runner. */
     public void record(String workspace, double costTokens, long now) {
-        tokensByWorkspace
-                .computeIfAbsent(workspace, name -> new SlidingWindowSum(windowNanos, BUCKETS))
-                .add(costTokens, now);
+        windowOf(tokensByWorkspace, workspace).add(costTokens, now);
+    }
+
+    /** Adds the cost of requests that were turned away because the fleet is busy. */
+    void recordTurnedAway(String workspace, double costTokens, long now) {
+        windowOf(turnedAwayByWorkspace, workspace).add(costTokens, now);
+    }
+
+    private SlidingWindowSum windowOf(Map<String, SlidingWindowSum> windows, String workspace) {
+        return windows.computeIfAbsent(workspace, name -> new SlidingWindowSum(windowNanos, BUCKETS));
     }
 
     /**
@@ -46,30 +54,40 @@
      */
     public FairShareUsage usageOf(String workspace, double ratedTokens, long now) {
         if (computedAt == Long.MIN_VALUE || now - computedAt > RECOMPUTE_INTERVAL_NANOS) {
-            tokensByWorkspace.values().removeIf(used -> used.sum(now) == 0);
-            double[] usages = tokensByWorkspace.values().stream()
-                    .mapToDouble(used -> used.sum(now))
-                    .sorted()
-                    .toArray();
-            double totalUsage = Arrays.stream(usages).sum();
-            ratedShare = maxMinShare(usages, Math.min(ratedTokens, totalUsage * SHARED_USAGE_FRACTION));
-            currentShare = maxMinShare(usages, Math.max(ratedTokens, totalUsage * SHARED_USAGE_FRACTION));
-            computedAt = now;
+            recompute(ratedTokens, now);
         }
         SlidingWindowSum used = tokensByWorkspace.get(workspace);
         double tokens = used == null ? 0 : used.sum(now);
         return new FairShareUsage(tokens / ratedShare, tokens / currentShare);
     }
 
-    /** Returns the highest cap per workspace at which all usages, each limited to the cap, fit into the capacity. */
-    private static double maxMinShare(double[] usages, double capacityTokens) {
+    private void recompute(double ratedTokens, long now) {
+        tokensByWorkspace.values().removeIf(used -> used.sum(now) == 0);
+        turnedAwayByWorkspace.values().removeIf(turnedAway -> turnedAway.sum(now) == 0);
+        Map<String, Double> asked = new HashMap<>();
+        tokensByWorkspace.forEach((workspace, used) -> asked.merge(workspace, used.sum(now), Double::sum));
+        double currentTokens =
+                asked.values().stream().mapToDouble(Double::doubleValue).sum() * SHARED_USAGE_FRACTION;
+        turnedAwayByWorkspace.forEach(
+                (workspace, turnedAway) -> asked.merge(workspace, turnedAway.sum(now), Double::sum));
+        double[] claims = asked.values().stream()
+                .mapToDouble(Double::doubleValue)
+                .sorted()
+                .toArray();
+        ratedShare = maxMinShare(claims, Math.min(ratedTokens, currentTokens));
+        currentShare = maxMinShare(claims, currentTokens);
+        computedAt = now;
+    }
+
+    /** Returns the highest cap per workspace at which all claims, each limited to the cap, fit into the capacity. */
+    private static double maxMinShare(double[] claims, double capacityTokens) {
         double remaining = capacityTokens;
-        for (int index = 0; index < usages.length; index++) {
-            double equalShare = remaining / (usages.length - index);
-            if (usages[index] > equalShare) {
+        for (int index = 0; index < claims.length; index++) {
+            double equalShare = remaining / (claims.length - index);
+            if (claims[index] > equalShare) {
                 return equalShare;
             }
-            remaining -= usages[index];
+            remaining -= claims[index];
         }
         return Double.POSITIVE_INFINITY;
     }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerCodec.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerCodec.java
@@ -34,6 +34,7 @@
     private static final int EVENT_UNREACHABLE = 4;
     private static final int EVENT_PARTS_CACHED = 5;
     private static final int EVENT_STREAM_BEGAN = 6;
+    private static final int EVENT_TURNED_AWAY = 7;
 
     private PeerCodec() {}
 
@@ -142,6 +143,10 @@
                 packer.packInt(EVENT_STREAM_BEGAN);
                 packOrigin(packer, began.origin());
             }
+            case LoadEvent.TurnedAway turnedAway ->
+                packer.packInt(EVENT_TURNED_AWAY)
+                        .packString(turnedAway.workspace())
+                        .packLong(turnedAway.costTokens());
         }
     }
 
@@ -271,6 +276,7 @@
             case EVENT_UNREACHABLE -> new LoadEvent.Unreachable(unpacker.unpackString());
             case EVENT_PARTS_CACHED -> new LoadEvent.PartsCached(unpacker.unpackString(), unpackParts(unpacker));
             case EVENT_STREAM_BEGAN -> new LoadEvent.StreamBegan(unpackOrigin(unpacker));
+            case EVENT_TURNED_AWAY -> new LoadEvent.TurnedAway(unpacker.unpackString(), unpacker.unpackLong());
             default -> throw new MangowallException(FailureCode.FRAME_INVALID, "unknown load event type " + type);
         };
     }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/Reporter.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/Reporter.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -27,6 +28,9 @@
     private final StoreAvailability storeAvailability;
     private final BooleanSupplier isReady;
     private List<LoadEvent> pendingEvents = new ArrayList<>();
+    /** Summed up until the next report: a busy host turns requests of the same few workspaces away. */
+    private final Map<String, Long> turnedAwayTokens = new HashMap<>();
+
     private long sequence;
     private long lastFullReportAt;
 
@@ -44,15 +48,22 @@
     }
 
     void add(LoadEvent event) {
-        pendingEvents.add(event);
+        if (event instanceof LoadEvent.TurnedAway turnedAway) {
+            turnedAwayTokens.merge(turnedAway.workspace(), turnedAway.costTokens(), Long::sum);
+        } else {
+            pendingEvents.add(event);
+        }
     }
 
     boolean hasPendingEvents() {
-        return !pendingEvents.isEmpty();
+        return !pendingEvents.isEmpty() || !turnedAwayTokens.isEmpty();
     }
 
     /** The events since the last call, followed by a full report when one is due. */
     List<HostReport> nextReports(long now) {
+        turnedAwayTokens.forEach(
+                (workspace, costTokens) -> pendingEvents.add(new LoadEvent.TurnedAway(workspace, costTokens)));
+        turnedAwayTokens.clear();
         List<HostReport> reports = new ArrayList<>();
         reports.add(report(Optional.empty(), pendingEvents, now));
         pendingEvents = new ArrayList<>();
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
@@ -159,6 +159,9 @@
             giveUp(FailureCode.RUNNER_CONNECTION_LOST);
             return;
         }
+        if (workspace.isPresent() && request.prompt().isPresent()) {
+            context.publish(new LoadEvent.TurnedAway(workspace.get(), costTokens()));
+        }
         reject(rejection.code(), rejection.retryAfterMillis());
     }
 
--- a/mangowall-edge/src/test/java/org/mangowall/edge/decision/EngineSimulation.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/decision/EngineSimulation.java
@@ -158,7 +158,10 @@
         PlacementDecision decision =
                 host.placement().decide(Fixtures.stream(workspace, prompt, random.nextDouble()), now);
         switch (decision) {
-            case PlacementDecision.Reject reject -> outcomes.rejected += 1;
+            case PlacementDecision.Reject reject -> {
+                outcomes.rejected += 1;
+                publish(host, new LoadEvent.TurnedAway(workspace, prompt.costTokens()), now);
+            }
             case PlacementDecision.Send send -> run(host, workspace, prompt, send, now, outcomes);
         }
     }
--- a/mangowall-edge/src/test/java/org/mangowall/edge/decision/PlacementLoadTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/decision/PlacementLoadTest.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import java.util.Set;
 
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.mangowall.edge.model.PromptDescription;
 
@@ -62,7 +61,6 @@
 
     /** Callers of one workspace all use a host that responds late; others that overload the fleet yield to it. */
     @Test
-    @Tag("known-red")
     void aWorkspaceAtACrowdedHostGetsItsShare() {
         EngineSimulation simulation = new EngineSimulation(ENGINES, 900_000, 7, 60, 0, 0, 0, 0, 0);
         simulation.loadAtFirstHost("crowded", 80, 0, 12, random -> Fixtures.prompt(6_600, 380, random.nextLong()));
--- a/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerCodecTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerCodecTest.java
@@ -69,7 +69,8 @@
                         new LoadEvent.Ended(1),
                         new LoadEvent.Unreachable("r"),
                         new LoadEvent.PartsCached("r", PARTS),
-                        new LoadEvent.StreamBegan(ORIGIN)));
+                        new LoadEvent.StreamBegan(ORIGIN),
+                        new LoadEvent.TurnedAway("w", 5)));
         assertEquals(state, PeerCodec.decodeState(PeerCodec.encode(state)));
         HostState change = new HostState(false, true, 0, state.completeTo(), Optional.empty(), List.of());
         assertEquals(change, PeerCodec.decodeState(PeerCodec.encode(change)));
