Charge a workspace for runs, not for offers to runners

Cause: its usage grew with each request sent, and nothing was given back when no runner ran it.

Change: a request counts while it waits at a runner, and for the window once its run has begun; one that ends without a run costs nothing. No new message: both events were reported already. Requests that a full report repairs count too.

FleetLoadTest: anOfferThatNoRunnerRanIsNotCharged failed before (usage 1.67 in place of 0.33 of the share), and so did aRequestThatWaitsAtARunnerIsCharged; both pass. PlacementLoadTest and WorkspaceSharesTest pass unchanged.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
@@ -218,10 +218,11 @@
         Map<Long, InFlightRequest> inFlight = inFlightByHost.computeIfAbsent(host, name -> new HashMap<>());
         switch (event) {
             case LoadEvent.Sent sent -> {
-                sent.workspace().ifPresent(name -> shares.record(name, sent.costTokens(), now));
                 sent.stream().ifPresent(origin -> streamOrigins.record(origin, now));
                 RunnerState runner = runners.get(sent.runner());
-                if (runner != null) {
+                if (runner == null) {
+                    sent.workspace().ifPresent(name -> shares.record(name, sent.costTokens(), now));
+                } else {
                     end(inFlight.remove(sent.number()));
                     begin(inFlight, new InFlightRequest(sent, runner, now));
                     runner.coldStartLimiter().recordSent(hosts.size(), coldRate(runner), now);
@@ -230,8 +231,7 @@
             case LoadEvent.ResponseStarted started -> {
                 InFlightRequest request = inFlight.get(started.number());
                 if (request != null && !request.hasResponseStarted()) {
-                    request.runner().markPromptProcessed(request);
-                    request.markResponseStarted();
+                    markResponseStarted(request, now);
                 }
             }
             case LoadEvent.Ended ended -> end(inFlight.remove(ended.number()));
@@ -278,9 +278,21 @@
         });
     }
 
-    private static void begin(Map<Long, InFlightRequest> inFlight, InFlightRequest request) {
+    private void begin(Map<Long, InFlightRequest> inFlight, InFlightRequest request) {
         inFlight.put(request.sent().number(), request);
         request.runner().begin(request);
+        LoadEvent.Sent sent = request.sent();
+        sent.workspace().ifPresent(name -> shares.beginWait(name, sent.costTokens()));
+    }
+
+    private void markResponseStarted(InFlightRequest request, long now) {
+        request.runner().markPromptProcessed(request);
+        request.markResponseStarted();
+        LoadEvent.Sent sent = request.sent();
+        sent.workspace().ifPresent(name -> {
+            shares.endWait(name, sent.costTokens());
+            shares.record(name, sent.costTokens(), now);
+        });
     }
 
     private void recordCachedParts(LoadEvent.PartsCached partsCached) {
@@ -297,9 +309,14 @@
         return service(runner.entry().service()).coldRequestsPerSecond();
     }
 
-    private static void end(InFlightRequest request) {
-        if (request != null) {
-            request.runner().end(request);
+    private void end(InFlightRequest request) {
+        if (request == null) {
+            return;
+        }
+        request.runner().end(request);
+        LoadEvent.Sent sent = request.sent();
+        if (!request.hasResponseStarted()) {
+            sent.workspace().ifPresent(name -> shares.endWait(name, sent.costTokens()));
         }
     }
 
@@ -307,7 +324,7 @@
     public void dropHost(String host) {
         Map<Long, InFlightRequest> inFlight = inFlightByHost.remove(host);
         if (inFlight != null) {
-            inFlight.values().forEach(FleetLoad::end);
+            inFlight.values().forEach(this::end);
         }
     }
 
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/WorkspaceShares.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/WorkspaceShares.java
@@ -23,6 +23,7 @@
 
     private final long windowNanos;
     private final Map<String, SlidingWindowSum> tokensByWorkspace = new HashMap<>();
+    private final Map<String, Double> waitingByWorkspace = new HashMap<>();
     private final Map<String, SlidingWindowSum> turnedAwayByWorkspace = new HashMap<>();
     private long computedAt = Long.MIN_VALUE;
     private double ratedShare = Double.POSITIVE_INFINITY;
@@ -33,11 +34,22 @@
         this.windowNanos = windowNanos;
     }
 
-    /** Adds the cost of a request that was sent to a runner. */
+    /** Adds the cost of a request whose run has begun. */
     public void record(String workspace, double costTokens, long now) {
         windowOf(tokensByWorkspace, workspace).add(costTokens, now);
     }
 
+    /** Counts a request that was sent to a runner until {@link #endWait}. */
+    void beginWait(String workspace, double costTokens) {
+        waitingByWorkspace.merge(workspace, costTokens, Double::sum);
+    }
+
+    /** The run of a request has begun, or it ended without a run, which costs its workspace nothing. */
+    void endWait(String workspace, double costTokens) {
+        waitingByWorkspace.computeIfPresent(
+                workspace, (name, waiting) -> waiting <= costTokens ? null : waiting - costTokens);
+    }
+
     /** Adds the cost of requests that were turned away because the fleet is busy. */
     void recordTurnedAway(String workspace, double costTokens, long now) {
         windowOf(turnedAwayByWorkspace, workspace).add(costTokens, now);
@@ -57,14 +69,14 @@
             recompute(ratedTokens, now);
         }
         SlidingWindowSum used = tokensByWorkspace.get(workspace);
-        double tokens = used == null ? 0 : used.sum(now);
+        double tokens = waitingByWorkspace.getOrDefault(workspace, 0.0) + (used == null ? 0 : used.sum(now));
         return new FairShareUsage(tokens / ratedShare, tokens / currentShare);
     }
 
     private void recompute(double ratedTokens, long now) {
         tokensByWorkspace.values().removeIf(used -> used.sum(now) == 0);
         turnedAwayByWorkspace.values().removeIf(turnedAway -> turnedAway.sum(now) == 0);
-        Map<String, Double> asked = new HashMap<>();
+        Map<String, Double> asked = new HashMap<>(waitingByWorkspace);
         tokensByWorkspace.forEach((workspace, used) -> asked.merge(workspace, used.sum(now), Double::sum));
         double currentTokens =
                 asked.values().stream().mapToDouble(Double::doubleValue).sum() * SHARED_USAGE_FRACTION;
--- a/mangowall-edge/src/test/java/org/mangowall/edge/decision/FleetLoadTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/decision/FleetLoadTest.java
@@ -21,7 +21,11 @@
     }
 
     private static LoadEvent.Sent sent(long number) {
-        return new LoadEvent.Sent(number, "r", Optional.of("w"), PARTS, 1_200, 1_300, 1_400, Optional.empty());
+        return sent("w", number);
+    }
+
+    private static LoadEvent.Sent sent(String workspace, long number) {
+        return new LoadEvent.Sent(number, "r", Optional.of(workspace), PARTS, 1_200, 1_300, 1_400, Optional.empty());
     }
 
     @Test
@@ -53,6 +57,42 @@
                         .ofRatedShare());
     }
 
+    /** A crowded host offers a request to several runners before one takes it; the workspace got only one run. */
+    @Test
+    void anOfferThatNoRunnerRanIsNotCharged() {
+        fleet.installRunner(Fixtures.runner("r", Fixtures.ENGINES, "a", 0), 0);
+        fleet.installTable(Fixtures.table(1_400, 0));
+        for (long number = 0; number < 4; number++) {
+            fleet.apply("other", sent("w", number), 0);
+            fleet.apply("other", new LoadEvent.Ended(number), 0);
+        }
+        for (String workspace : List.of("w", "v")) {
+            fleet.apply("other", sent(workspace, 9), 0);
+            fleet.apply("other", new LoadEvent.ResponseStarted(9), 0);
+            fleet.apply("other", new LoadEvent.Ended(9), 0);
+        }
+        assertEquals(usageAt("v", 0), usageAt("w", 0));
+    }
+
+    @Test
+    void aRequestThatWaitsAtARunnerIsCharged() {
+        fleet.installRunner(Fixtures.runner("r", Fixtures.ENGINES, "a", 0), 0);
+        fleet.installTable(Fixtures.table(1_400, 0));
+        fleet.apply("other", sent(1), 0);
+        double waiting = usageAt("w", 0);
+        assertTrue(waiting > 0);
+        long later = Fixtures.WINDOW_NANOS * 2;
+        assertEquals(waiting, usageAt("w", later));
+        fleet.apply("other", new LoadEvent.ResponseStarted(1), later);
+        fleet.apply("other", new LoadEvent.Ended(1), later);
+        assertEquals(waiting, usageAt("w", later + Fixtures.WINDOW_NANOS / 8));
+        assertEquals(0, usageAt("w", later + 2 * Fixtures.WINDOW_NANOS));
+    }
+
+    private double usageAt(String workspace, long now) {
+        return fleet.fairShareUsage(workspace, Fixtures.WINDOW_NANOS, now).ofRatedShare();
+    }
+
     /** A host that has just started may learn what a runner has cached before the store lists the runner. */
     @Test
     void cachedPartsOfAnUnlistedRunnerAreRemembered() {
