--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
@@ -18,6 +18,7 @@
 import org.mangowall.edge.decision.StreamOrigin;
 import org.mangowall.edge.model.CallerRequest;
 import org.mangowall.edge.model.PromptDescription;
+import org.mangowall.edge.model.PromptPart;
 import org.mangowall.edge.model.RequestKind;
 import org.mangowall.edge.model.Route;
 import org.mangowall.edge.model.RouteTable;
@@ -173,7 +174,7 @@
                 attemptNumber,
                 decision.runner().identifier(),
                 workspace,
-                prompt.map(PromptDescription::parts).orElse(List.of()),
+                promptParts(),
                 decision.prefillTokens(),
                 prompt.map(description -> description.promptTokens() + description.outputTokens())
                         .orElse(0),
@@ -225,6 +226,11 @@
         return request.prompt().map(PromptDescription::costTokens).orElse(0L);
     }
 
+    /** The parts of the prompt; empty for a plain request. */
+    List<PromptPart> promptParts() {
+        return request.prompt().map(PromptDescription::parts).orElse(List.of());
+    }
+
     /** The number of times the request was offered to a runner. */
     int offers() {
         return offers;
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/ExchangeLog.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/ExchangeLog.java
@@ -1,17 +1,21 @@
 package org.mangowall.edge.traffic;
 
 import java.io.IOException;
+import java.util.List;
 import java.util.Optional;
 
 import com.fasterxml.jackson.core.JsonGenerator;
 import org.mangowall.edge.decision.Admission;
 import org.mangowall.edge.decision.PlacementDecision;
+import org.mangowall.edge.model.PromptPart;
 import org.mangowall.edge.model.RouteTable;
 import org.mangowall.kernel.failure.FailureCode;
 
 /** Writes the log events of a request; {@code docs/OPERATIONS.md} lists them. */
 final class ExchangeLog {
 
+    private static final int MAX_LOGGED_PARTS = 8;
+
     private final EdgeContext context;
 
     ExchangeLog(EdgeContext context) {
@@ -90,10 +94,22 @@
             line.writeStringField("reason", reason);
             line.writeNumberField("runs", exchange.runs());
             line.writeNumberField("elapsedMillis", Math.round(exchange.elapsedMillis()));
+            writePromptParts(line, exchange.promptParts());
             writeResponse(line, tried.responseProgress());
         });
     }
 
+    private static void writePromptParts(JsonGenerator line, List<PromptPart> parts) throws IOException {
+        if (parts.isEmpty()) {
+            return;
+        }
+        line.writeArrayFieldStart("promptParts");
+        for (PromptPart part : parts.subList(0, Math.min(parts.size(), MAX_LOGGED_PARTS))) {
+            line.writeString(Long.toHexString(part.identifier()));
+        }
+        line.writeEndArray();
+    }
+
     void ended(Exchange exchange, String outcome) {
         context.log().write("ended", line -> {
             writeRequest(line, exchange);
