Quarantine prompt parts that crash runners

Cause: a lost connection was counted against the runner only, which is replaced in seconds; what ran there was forgotten, so nothing linked one crash to the next.

Ruled out: that hosts know it each by itself; there was no such state.

Change: each run's outcome is reported with its end. All hosts count for each part, the last one of a prompt excepted, the lost runs in a row, each sent after the one before was lost and to another incarnation of a runner. Three at two hosts or more, without a complete run in between, put the part in quarantine for five minutes; requests with it are refused at once, repeats too. A complete run clears a part, so parts that sound requests share are cleared all the time, and runners that crash at the same moment count once. Full reports and handovers carry the quarantine to hosts that were started or missed reports.

PartQuarantineTest has the cases that must not convict a part.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
@@ -36,6 +36,7 @@
 
     private final StreamOrigins streamOrigins = new StreamOrigins();
     private final Set<String> closedZones = new HashSet<>();
+    private final PartQuarantine quarantine;
     private final WorkspaceShares shares;
     private Collection<String> hosts;
     private double tokensPerSecond;
@@ -50,6 +51,7 @@
     public FleetLoad(String self, long shareWindowNanos) {
         this.self = self;
         this.hosts = List.of(self);
+        this.quarantine = new PartQuarantine(self);
         this.shares = new WorkspaceShares(shareWindowNanos);
     }
 
@@ -143,6 +145,21 @@
                 .toList();
     }
 
+    /** Returns how long a prompt must not be sent because a part of it crashes runners; empty if it may be sent. */
+    Optional<Long> quarantineNanos(List<PromptPart> parts, long now) {
+        return quarantine.remainingNanos(parts, now);
+    }
+
+    /** Returns the prompt parts in quarantine, for other hosts. */
+    public List<LoadEvent.PartQuarantined> quarantinedParts(long now) {
+        return quarantine.quarantined(now);
+    }
+
+    /** Returns and clears the identifiers of the parts whose quarantine began since the last call. */
+    public List<Long> takeNewlyQuarantined() {
+        return quarantine.takeNewlyQuarantined();
+    }
+
     /** Whether other runners may fetch key-value cache from a runner, including one that takes no more requests. */
     boolean canServeCache(RunnerState runner, long now) {
         return !runner.health().isPaused(now);
@@ -234,7 +251,8 @@
                     markResponseStarted(request, now);
                 }
             }
-            case LoadEvent.Ended ended -> end(inFlight.remove(ended.number()));
+            case LoadEvent.Ended ended -> ended(host, inFlight.remove(ended.number()), ended.outcome(), now);
+            case LoadEvent.PartQuarantined quarantined -> quarantine.adopt(quarantined, now);
             case LoadEvent.TurnedAway turnedAway ->
                 shares.recordTurnedAway(turnedAway.workspace(), turnedAway.costTokens(), now);
             case LoadEvent.PartsCached partsCached -> recordCachedParts(partsCached);
@@ -309,6 +327,18 @@
         return service(runner.entry().service()).coldRequestsPerSecond();
     }
 
+    private void ended(String host, InFlightRequest request, RunOutcome outcome, long now) {
+        end(request);
+        if (request == null) {
+            return;
+        }
+        switch (outcome) {
+            case COMPLETE -> quarantine.recordComplete(request);
+            case LOST -> quarantine.recordLost(request, host, hosts.size(), now);
+            case OTHER -> {}
+        }
+    }
+
     private void end(InFlightRequest request) {
         if (request == null) {
             return;
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/LoadEvent.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/LoadEvent.java
@@ -45,11 +45,12 @@
     record ResponseStarted(long number) implements LoadEvent {}
 
     /**
-     * The runner finished the request or was told to cancel it.
+     * The runner finished the request, was lost or was told to cancel it.
      *
      * @param number the sequence number of the request
+     * @param outcome how the run ended
      */
-    record Ended(long number) implements LoadEvent {}
+    record Ended(long number, RunOutcome outcome) implements LoadEvent {}
 
     /**
      * Requests of a workspace were turned away because the fleet is busy.
@@ -59,6 +60,14 @@
      */
     record TurnedAway(String workspace, long costTokens) implements LoadEvent {}
 
+    /**
+     * A prompt part crashes runners and is in quarantine.
+     *
+     * @param part the identifier of the part
+     * @param remainingNanos how much longer it is in quarantine
+     */
+    record PartQuarantined(long part, long remainingNanos) implements LoadEvent {}
+
     /**
      * A runner couldn't be reached.
      *
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/Placement.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/Placement.java
@@ -40,6 +40,8 @@
     /** Retry time for a service without an eligible runner: about the time of a runner restart. */
     private static final double NO_RUNNER_RETRY_MILLIS = 500;
 
+    private static final double NANOS_PER_MILLI = 1e6;
+
     private final FleetLoad fleet;
     private final AdmissionControl admissionControl;
 
@@ -55,6 +57,12 @@
 
     /** Chooses a runner for a request or rejects it. */
     public PlacementDecision decide(PlacementRequest request, long now) {
+        Optional<Long> quarantine = request.prompt().flatMap(prompt -> fleet.quarantineNanos(prompt.parts(), now));
+        if (quarantine.isPresent()) {
+            double remainingMillis = quarantine.get() / NANOS_PER_MILLI;
+            return new PlacementDecision.Reject(
+                    FailureCode.PROMPT_PART_QUARANTINED, remainingMillis, 0, Admission.NONE);
+        }
         ServiceState service = fleet.service(request.service());
         CachedPrompt cached =
                 request.prompt().map(prompt -> findCached(service, prompt, now)).orElse(CachedPrompt.NOT_CACHED);
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerCodec.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerCodec.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 
 import org.mangowall.edge.decision.LoadEvent;
+import org.mangowall.edge.decision.RunOutcome;
 import org.mangowall.edge.decision.StreamOrigin;
 import org.mangowall.edge.model.HostRecord;
 import org.mangowall.edge.model.PromptPart;
@@ -35,6 +36,7 @@
     private static final int EVENT_PARTS_CACHED = 5;
     private static final int EVENT_STREAM_BEGAN = 6;
     private static final int EVENT_TURNED_AWAY = 7;
+    private static final int EVENT_PART_QUARANTINED = 8;
 
     private PeerCodec() {}
 
@@ -132,7 +134,10 @@
             }
             case LoadEvent.ResponseStarted started ->
                 packer.packInt(EVENT_RESPONSE_STARTED).packLong(started.number());
-            case LoadEvent.Ended ended -> packer.packInt(EVENT_ENDED).packLong(ended.number());
+            case LoadEvent.Ended ended ->
+                packer.packInt(EVENT_ENDED)
+                        .packLong(ended.number())
+                        .packInt(ended.outcome().ordinal());
             case LoadEvent.Unreachable unreachable ->
                 packer.packInt(EVENT_UNREACHABLE).packString(unreachable.runner());
             case LoadEvent.PartsCached partsCached -> {
@@ -143,6 +148,10 @@
                 packer.packInt(EVENT_STREAM_BEGAN);
                 packOrigin(packer, began.origin());
             }
+            case LoadEvent.PartQuarantined quarantined ->
+                packer.packInt(EVENT_PART_QUARANTINED)
+                        .packLong(quarantined.part())
+                        .packLong(quarantined.remainingNanos());
             case LoadEvent.TurnedAway turnedAway ->
                 packer.packInt(EVENT_TURNED_AWAY)
                         .packString(turnedAway.workspace())
@@ -272,15 +281,25 @@
         return switch (type) {
             case EVENT_SENT -> unpackSent(unpacker);
             case EVENT_RESPONSE_STARTED -> new LoadEvent.ResponseStarted(unpacker.unpackLong());
-            case EVENT_ENDED -> new LoadEvent.Ended(unpacker.unpackLong());
+            case EVENT_ENDED -> new LoadEvent.Ended(unpacker.unpackLong(), unpackOutcome(unpacker));
             case EVENT_UNREACHABLE -> new LoadEvent.Unreachable(unpacker.unpackString());
             case EVENT_PARTS_CACHED -> new LoadEvent.PartsCached(unpacker.unpackString(), unpackParts(unpacker));
             case EVENT_STREAM_BEGAN -> new LoadEvent.StreamBegan(unpackOrigin(unpacker));
+            case EVENT_PART_QUARANTINED -> new LoadEvent.PartQuarantined(unpacker.unpackLong(), unpacker.unpackLong());
             case EVENT_TURNED_AWAY -> new LoadEvent.TurnedAway(unpacker.unpackString(), unpacker.unpackLong());
             default -> throw new MangowallException(FailureCode.FRAME_INVALID, "unknown load event type " + type);
         };
     }
 
+    private static RunOutcome unpackOutcome(MessageUnpacker unpacker) throws IOException {
+        int ordinal = unpacker.unpackInt();
+        RunOutcome[] outcomes = RunOutcome.values();
+        if (ordinal < 0 || ordinal >= outcomes.length) {
+            throw new MangowallException(FailureCode.FRAME_INVALID, "unknown run outcome " + ordinal);
+        }
+        return outcomes[ordinal];
+    }
+
     private static LoadEvent unpackSent(MessageUnpacker unpacker) throws IOException {
         long number = unpacker.unpackLong();
         String runner = unpacker.unpackString();
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/Reporter.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/Reporter.java
@@ -74,9 +74,11 @@
         return reports;
     }
 
-    /** A report of the identity of this host and all its in-flight requests. */
+    /** A report of the identity of this host, all its in-flight requests and all quarantined prompt parts. */
     HostReport fullReport(long now) {
-        return report(Optional.of(self), fleet.ownInFlightRequests(), now);
+        List<LoadEvent> events = new ArrayList<>(fleet.ownInFlightRequests());
+        events.addAll(fleet.quarantinedParts(now));
+        return report(Optional.of(self), events, now);
     }
 
     private HostReport report(Optional<HostRecord> record, List<LoadEvent> events, long now) {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
@@ -181,6 +181,9 @@
     }
 
     private void logLoad(long loopDelayNanos) {
+        fleet.takeNewlyQuarantined()
+                .forEach(part -> log.write(
+                        "prompt-part-quarantined", line -> line.writeStringField("part", Long.toHexString(part))));
         log.write("load", line -> {
             line.writeNumberField("loopDelayMillis", TimeUnit.NANOSECONDS.toMillis(loopDelayNanos));
             line.writeNumberField("activeRequests", callers.activeRequests());
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
@@ -160,7 +160,8 @@
             giveUp(FailureCode.RUNNER_CONNECTION_LOST);
             return;
         }
-        if (workspace.isPresent() && request.prompt().isPresent()) {
+        boolean isBusy = rejection.code() != FailureCode.PROMPT_PART_QUARANTINED;
+        if (isBusy && workspace.isPresent() && request.prompt().isPresent()) {
             context.publish(new LoadEvent.TurnedAway(workspace.get(), costTokens()));
         }
         reject(rejection.code(), rejection.retryAfterMillis());
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerAttempt.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerAttempt.java
@@ -10,6 +10,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import org.mangowall.edge.decision.LoadEvent;
 import org.mangowall.edge.decision.PlacementDecision;
+import org.mangowall.edge.decision.RunOutcome;
 import org.mangowall.edge.model.RunnerEntry;
 import org.mangowall.edge.model.RunnerResponse;
 
@@ -19,6 +20,8 @@
     /** Non-streamed responses up to this size are buffered until complete, so that a failed one can be retried. */
     private static final int MAX_BUFFERED_BYTES = 1 << 20;
 
+    private static final int FIRST_ERROR_STATUS = 300;
+
     private static final String EVENT_STREAM = "text/event-stream";
 
     private final EdgeContext context;
@@ -88,7 +91,7 @@
         if (isFinished) {
             return;
         }
-        finish();
+        finish(RunOutcome.OTHER);
         if (isUnreachable) {
             context.markUnreachable(runner().identifier());
         }
@@ -122,20 +125,20 @@
         if (isFinished) {
             return;
         }
-        finish();
+        finish(RunOutcome.OTHER);
         if (connection != null && !isDiscardingResponse) {
             connection.cancel();
         }
     }
 
-    private void finish() {
+    private void finish(RunOutcome outcome) {
         isFinished = true;
         if (stallTimer != null) {
             stallTimer.cancel(false);
         }
         buffered.release();
         buffered = Unpooled.EMPTY_BUFFER;
-        context.publish(new LoadEvent.Ended(attemptNumber));
+        context.publish(new LoadEvent.Ended(attemptNumber, outcome));
     }
 
     @Override
@@ -148,7 +151,7 @@
                         left -> context.fleet().recordColdTime(runner().identifier(), left.toNanos(), context.now()));
         if (response.isNotExecuted()) {
             isDiscardingResponse = true;
-            finish();
+            finish(RunOutcome.OTHER);
             exchange.notRun(this, response);
             return;
         }
@@ -244,14 +247,15 @@
             }
         }
         recordCompletion();
+        RunOutcome outcome = head.status().code() < FIRST_ERROR_STATUS ? RunOutcome.COMPLETE : RunOutcome.OTHER;
         if (isStreaming) {
-            finish();
+            finish(outcome);
             exchange.forwardEnd(this, head);
             return;
         }
         ByteBuf body = buffered;
         buffered = Unpooled.EMPTY_BUFFER;
-        finish();
+        finish(outcome);
         exchange.complete(this, head, body);
     }
 
@@ -280,7 +284,7 @@
         }
         context.fleet().recordResponse(runner().identifier(), true, context.now());
         context.metrics().countRunnerFailure(runner().service(), "lost");
-        finish();
+        finish(RunOutcome.LOST);
         exchange.failed(this, reason);
     }
 
--- a/mangowall-edge/src/test/java/org/mangowall/edge/decision/EngineSimulation.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/decision/EngineSimulation.java
@@ -218,6 +218,6 @@
             }
         }));
         long end = first + (long) (prompt.outputTokens() * MILLIS_PER_OUTPUT_TOKEN * Fixtures.MILLI);
-        events.add(new Event(end, () -> publish(host, new LoadEvent.Ended(requestNumber), end)));
+        events.add(new Event(end, () -> publish(host, new LoadEvent.Ended(requestNumber, RunOutcome.COMPLETE), end)));
     }
 }
--- /dev/null
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/decision/PartQuarantineTest.java
@@ -0,0 +1,183 @@
+package org.mangowall.edge.decision;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.mangowall.edge.model.PromptDescription;
+import org.mangowall.edge.model.PromptPart;
+import org.mangowall.kernel.failure.FailureCode;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class PartQuarantineTest {
+
+    private static final long FIRST = 1;
+    private static final long CRASHING = 2;
+    private static final long SECOND = 1_000_000_000L;
+    private static final long MINUTE = 60 * SECOND;
+
+    private final FleetLoad fleet = new FleetLoad("self", Fixtures.WINDOW_NANOS);
+    private final Placement placement = new Placement(fleet, Fixtures.WINDOW_NANOS);
+    private long lastNumber;
+    private long now;
+
+    @BeforeEach
+    void installRunners() {
+        fleet.installTable(Fixtures.table(0, 0));
+        fleet.setHosts(List.of("self", "other", "third"));
+        for (int index = 0; index < 8; index++) {
+            fleet.installRunner(Fixtures.runner("r-" + index, Fixtures.ENGINES, "a", 0), 0);
+        }
+    }
+
+    private static List<PromptPart> parts(long... identifiers) {
+        return Fixtures.prompt(1_000, 50, identifiers).parts();
+    }
+
+    private long send(String host, int runner, List<PromptPart> parts) {
+        lastNumber += 1;
+        fleet.apply(
+                host,
+                new LoadEvent.Sent(
+                        lastNumber, "r-" + runner, Optional.of("w"), parts, 100, 1_000, 1_100, Optional.empty()),
+                now);
+        return lastNumber;
+    }
+
+    private void end(String host, long number, RunOutcome outcome) {
+        fleet.apply(host, new LoadEvent.Ended(number, outcome), now);
+    }
+
+    private void run(String host, int runner, RunOutcome outcome, long... identifiers) {
+        now += SECOND;
+        long number = send(host, runner, parts(identifiers));
+        now += SECOND;
+        end(host, number, outcome);
+    }
+
+    private void crashThreeRunners() {
+        run("self", 0, RunOutcome.LOST, FIRST, CRASHING, 10);
+        run("self", 0, RunOutcome.COMPLETE, FIRST, 3, 11);
+        run("other", 1, RunOutcome.LOST, FIRST, CRASHING, 12);
+        run("third", 1, RunOutcome.COMPLETE, FIRST, 3, 13);
+        run("third", 2, RunOutcome.LOST, FIRST, CRASHING, 14);
+    }
+
+    private boolean isQuarantined(long... identifiers) {
+        return fleet.quarantineNanos(parts(identifiers), now).isPresent();
+    }
+
+    @Test
+    void onlyThePartThatAllCrashesShareIsQuarantined() {
+        crashThreeRunners();
+        assertTrue(isQuarantined(FIRST, CRASHING, 20));
+        assertFalse(isQuarantined(FIRST, 3, 21));
+        assertFalse(isQuarantined(FIRST, 22));
+        assertEquals(List.of(CRASHING), fleet.takeNewlyQuarantined());
+        assertEquals(List.of(), fleet.takeNewlyQuarantined());
+    }
+
+    @Test
+    void aRequestWithAQuarantinedPartIsRejectedAtOnce() {
+        crashThreeRunners();
+        PromptDescription prompt = Fixtures.prompt(1_000, 50, FIRST, CRASHING, 20);
+        PlacementDecision.Reject reject = assertInstanceOf(
+                PlacementDecision.Reject.class, placement.decide(Fixtures.stream("w", prompt, 0.5), now));
+        assertEquals(FailureCode.PROMPT_PART_QUARANTINED, reject.code());
+        assertTrue(reject.retryAfterMillis() > 60_000, "retry after " + reject.retryAfterMillis());
+    }
+
+    /** The last part belongs to one request or session. */
+    @Test
+    void theLastPartIsNotJudged() {
+        for (int runner = 0; runner < 5; runner++) {
+            run(runner % 2 == 0 ? "self" : "other", runner, RunOutcome.LOST, 30 + runner, CRASHING);
+        }
+        assertFalse(isQuarantined(CRASHING, 40));
+    }
+
+    /** Runners that crash at the same moment say nothing about the parts that ran on them. */
+    @Test
+    void runnersThatCrashTogetherCountOnce() {
+        long[] numbers = new long[8];
+        for (int runner = 0; runner < numbers.length; runner++) {
+            numbers[runner] = send(runner % 2 == 0 ? "self" : "other", runner, parts(FIRST, 3, 50 + runner));
+        }
+        now += SECOND;
+        for (int runner = 0; runner < numbers.length; runner++) {
+            end(runner % 2 == 0 ? "self" : "other", numbers[runner], RunOutcome.LOST);
+        }
+        assertFalse(isQuarantined(FIRST, 3, 60));
+    }
+
+    /** Another host may have sent its request before the crash that was reported first. */
+    @Test
+    void lossesAtOtherHostsWithinTheReportDelayCountOnce() {
+        for (int runner = 0; runner < 6; runner++) {
+            String host = runner % 2 == 0 ? "other" : "third";
+            long number = send(host, runner, parts(FIRST, 3, 50 + runner));
+            now += SECOND / 100;
+            end(host, number, RunOutcome.LOST);
+        }
+        assertFalse(isQuarantined(FIRST, 3, 60));
+    }
+
+    @Test
+    void lossesAtOneHostDontConvictAPart() {
+        for (int runner = 0; runner < 6; runner++) {
+            run("other", runner, RunOutcome.LOST, FIRST, 3, 50);
+        }
+        assertFalse(isQuarantined(FIRST, 3, 60));
+    }
+
+    @Test
+    void lossesAtOneRunnerDontConvictAPart() {
+        for (int loss = 0; loss < 6; loss++) {
+            run(loss % 2 == 0 ? "self" : "other", 0, RunOutcome.LOST, FIRST, 3, 50);
+        }
+        assertFalse(isQuarantined(FIRST, 3, 60));
+    }
+
+    @Test
+    void runsThatEndOtherwiseDontConvictAPart() {
+        for (int runner = 0; runner < 6; runner++) {
+            run(runner % 2 == 0 ? "self" : "other", runner, RunOutcome.OTHER, FIRST, 3, 50);
+        }
+        assertFalse(isQuarantined(FIRST, 3, 60));
+    }
+
+    @Test
+    void aCompleteRunClearsThePart() {
+        long running = send("other", 5, parts(FIRST, CRASHING, 70));
+        crashThreeRunners();
+        end("other", running, RunOutcome.COMPLETE);
+        assertFalse(isQuarantined(FIRST, CRASHING, 20));
+    }
+
+    @Test
+    void aQuarantineEndsAndOneMoreCrashRenewsIt() {
+        crashThreeRunners();
+        now += 6 * MINUTE;
+        assertFalse(isQuarantined(FIRST, CRASHING, 20));
+        run("self", 3, RunOutcome.LOST, FIRST, CRASHING, 80);
+        assertTrue(isQuarantined(FIRST, CRASHING, 20));
+    }
+
+    /** A host that was started or missed reports learns of the quarantine from the full reports of the others. */
+    @Test
+    void theQuarantineOfAnotherHostIsAdopted() {
+        crashThreeRunners();
+        List<LoadEvent> report = List.copyOf(fleet.quarantinedParts(now));
+        FleetLoad started = new FleetLoad("started", Fixtures.WINDOW_NANOS);
+        started.applySnapshot("self", report, 0);
+        assertTrue(started.quarantineNanos(parts(FIRST, CRASHING, 20), 0).isPresent());
+        started.applySnapshot("self", report, MINUTE);
+        assertTrue(
+                started.quarantineNanos(parts(FIRST, CRASHING, 20), 6 * MINUTE).isEmpty());
+    }
+}
--- a/mangowall-edge/src/test/java/org/mangowall/edge/decision/PlacementLoadTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/decision/PlacementLoadTest.java
@@ -170,7 +170,7 @@
             assertInstanceOf(PlacementDecision.Send.class, placement.decide(Fixtures.stream("w", huge, 0.5), now));
             fleet.apply("host", sent(request, "r", 100_000), now);
             fleet.apply("host", new LoadEvent.ResponseStarted(request), now);
-            fleet.apply("host", new LoadEvent.Ended(request), now);
+            fleet.apply("host", new LoadEvent.Ended(request, RunOutcome.COMPLETE), now);
         }
     }
 
--- a/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerCodecTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerCodecTest.java
@@ -7,6 +7,7 @@
 
 import org.junit.jupiter.api.Test;
 import org.mangowall.edge.decision.LoadEvent;
+import org.mangowall.edge.decision.RunOutcome;
 import org.mangowall.edge.decision.StreamOrigin;
 import org.mangowall.edge.model.HostRecord;
 import org.mangowall.edge.model.PromptPart;
@@ -66,7 +67,9 @@
                         new LoadEvent.Sent(1, "r", Optional.of("w"), PARTS, 2, 3, 4, Optional.of(ORIGIN)),
                         new LoadEvent.Sent(2, "r", Optional.empty(), List.of(), 0, 0, 0, Optional.empty()),
                         new LoadEvent.ResponseStarted(1),
-                        new LoadEvent.Ended(1),
+                        new LoadEvent.Ended(1, RunOutcome.COMPLETE),
+                        new LoadEvent.Ended(2, RunOutcome.LOST),
+                        new LoadEvent.PartQuarantined(-1, 5_000_000_000L),
                         new LoadEvent.Unreachable("r"),
                         new LoadEvent.PartsCached("r", PARTS),
                         new LoadEvent.StreamBegan(ORIGIN),
--- a/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerMeshTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerMeshTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.mangowall.edge.decision.LoadEvent;
+import org.mangowall.edge.decision.RunOutcome;
 import org.mangowall.edge.model.HostRecord;
 import org.mangowall.edge.model.RunnerEntry;
 
@@ -81,7 +82,7 @@
         hosts.get(40).publish(sent(1));
         fleet.advance(400);
         hosts.forEach(host -> assertEquals(1, host.load().runningAt(RUNNER)));
-        hosts.get(40).publish(new LoadEvent.Ended(1));
+        hosts.get(40).publish(new LoadEvent.Ended(1, RunOutcome.COMPLETE));
         fleet.advance(400);
         hosts.forEach(host -> assertEquals(0, host.load().runningAt(RUNNER)));
     }
@@ -97,7 +98,7 @@
         for (int step = 0; step < seconds * 10; step++) {
             for (SimulatedMesh.Host host : hosts) {
                 host.publish(sent(step));
-                host.publish(new LoadEvent.Ended(step));
+                host.publish(new LoadEvent.Ended(step, RunOutcome.COMPLETE));
             }
             fleet.advance(100);
         }
@@ -163,7 +164,7 @@
             host.publish(sent(1));
             fleet.advance(500);
             hosts.forEach(other -> assertEquals(1, other.load().runningAt(RUNNER)));
-            host.publish(new LoadEvent.Ended(1));
+            host.publish(new LoadEvent.Ended(1, RunOutcome.COMPLETE));
             fleet.advance(500);
         }
     }
--- a/mangowall-edge/src/test/java/org/mangowall/edge/peer/ReporterTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/peer/ReporterTest.java
@@ -5,6 +5,7 @@
 import org.junit.jupiter.api.Test;
 import org.mangowall.edge.decision.FleetLoad;
 import org.mangowall.edge.decision.LoadEvent;
+import org.mangowall.edge.decision.RunOutcome;
 import org.mangowall.edge.mirror.StoreAvailability;
 import org.mangowall.edge.mirror.StoreMirror;
 import org.mangowall.edge.model.HostRecord;
@@ -31,10 +32,11 @@
     @Test
     void requestsTurnedAwayAreSummedUpForEachReport() {
         reporter.add(new LoadEvent.TurnedAway("w", 300));
-        reporter.add(new LoadEvent.Ended(1));
+        reporter.add(new LoadEvent.Ended(1, RunOutcome.COMPLETE));
         reporter.add(new LoadEvent.TurnedAway("w", 400));
         assertTrue(reporter.hasPendingEvents());
-        assertEquals(List.of(new LoadEvent.Ended(1), new LoadEvent.TurnedAway("w", 700)), nextEvents());
+        assertEquals(
+                List.of(new LoadEvent.Ended(1, RunOutcome.COMPLETE), new LoadEvent.TurnedAway("w", 700)), nextEvents());
         assertFalse(reporter.hasPendingEvents());
         assertEquals(List.of(), nextEvents());
         reporter.add(new LoadEvent.TurnedAway("w", 5));
--- a/mangowall-kernel/src/main/java/org/mangowall/kernel/failure/FailureCode.java
+++ b/mangowall-kernel/src/main/java/org/mangowall/kernel/failure/FailureCode.java
@@ -49,6 +49,8 @@
     NO_RUNNER("no-runner", 503, NOT_RUN),
     /** No runner accepts requests that has the software version at which the stream to be resumed began. */
     STREAM_VERSION_UNAVAILABLE("stream-version-unavailable", 503, NOT_RUN),
+    /** A part of the prompt has crashed several runners, so that requests with it are not sent to further ones. */
+    PROMPT_PART_QUARANTINED("prompt-part-quarantined", 503, NOT_RUN),
     /** The request reached its queue timeout and was not sent. */
     QUEUE_TIMEOUT("queue-timeout", 503, NOT_RUN),
     /** All attempts failed, and it is certain that none of them ran. */
