Stop reading a rejection that a runner sends without end

A runner in trouble may send bytes without end until the caller closes. A host read the body of a response that says the request wasn't run for as long as the runner sent it: the attempt was over, so that neither the deadline nor the caller's leaving closed the connection, and it kept one of the host's few connections to that runner, its link and processor.

Change: a body that is discarded is read up to 64 KB, then the connection is closed.

EndlessResponseTest.bodyWithoutEndOfARejectionIsNotReadOn: before, the host read all 67,125,240 bytes of the test; passes now. headWithoutEndIsAborted passed before too.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerAttempt.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerAttempt.java
@@ -20,6 +20,9 @@
     /** Non-streamed responses up to this size are buffered until complete, so that a failed one can be retried. */
     private static final int MAX_BUFFERED_BYTES = 1 << 20;
 
+    /** A longer body of a response that is discarded is not read on: a runner in trouble may send bytes without end. */
+    private static final int MAX_DISCARDED_BYTES = 1 << 16;
+
     private static final int FIRST_ERROR_STATUS = 300;
 
     private static final String EVENT_STREAM = "text/event-stream";
@@ -189,11 +192,14 @@
 
     @Override
     public void bodyReceived(ByteBuf bytes) {
+        bodyBytes += bytes.readableBytes();
         if (isFinished) {
+            if (bodyBytes > MAX_DISCARDED_BYTES) {
+                connection.cancel();
+            }
             return;
         }
         recordFirstPart();
-        bodyBytes += bytes.readableBytes();
         if (!isStreaming) {
             bufferPart(bytes);
             return;
