Abort a stream whose event has no end

A runner in trouble may send bytes that are no events without end. A host passed them on to the caller, a megabyte at a time, until the deadline of the request.

Change: an event over one megabyte ends the attempt as invalid; another runner may give the response if the route allows it. Events up to that length are passed on whole as before.

EventSplitterTest.streamIsInsideAnEventOfWhichAPartWasPassedOn tested that longer data is passed on in parts, which is the fault; in its place anEventWithoutEndIsTooLong and theLongestEventIsPassedOnWhole check the bound from both sides.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/EventSplitter.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/EventSplitter.java
@@ -11,28 +11,21 @@
 /** Splits a server-sent event stream into complete events, so that a stream that breaks off ends between events. */
 final class EventSplitter {
 
-    /** Longer data without an event boundary is passed on unsplit: no runner sends events of this size. */
+    /** No runner sends events of this size, but one in trouble may send bytes without end. */
     private static final int MAX_EVENT_BYTES = 1 << 20;
 
     private static final String IDENTIFIER_FIELD = "id:";
 
-    private ByteBuf pending = Unpooled.buffer();
+    private final ByteBuf pending = Unpooled.buffer();
     private Optional<String> lastEventIdentifier = Optional.empty();
-    /** Whether the start of the current event was passed on without its end. */
-    private boolean hasPassedOnUnsplit;
 
     /** Adds bytes of the stream and returns the complete events; the caller releases both buffers. */
     ByteBuf append(ByteBuf bytes) {
         pending.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
         int end = endOfLastEvent();
         if (end < 0) {
-            if (pending.readableBytes() > MAX_EVENT_BYTES) {
-                hasPassedOnUnsplit = true;
-                return drain();
-            }
             return Unpooled.EMPTY_BUFFER;
         }
-        hasPassedOnUnsplit = false;
         ByteBuf events = pending.readBytes(end - pending.readerIndex());
         pending.discardSomeReadBytes();
         recordLastIdentifier(events);
@@ -44,15 +37,14 @@
         return pending.readableBytes();
     }
 
-    /** Whether bytes other than line ends have followed the last event boundary. */
-    boolean isInsideEvent() {
-        return hasPassedOnUnsplit || pending.forEachByte(ByteProcessor.FIND_NON_CRLF) >= 0;
+    /** Whether an event is longer than any that a runner sends. */
+    boolean isEventTooLong() {
+        return pending.readableBytes() > MAX_EVENT_BYTES;
     }
 
-    private ByteBuf drain() {
-        ByteBuf remaining = pending;
-        pending = Unpooled.buffer();
-        return remaining;
+    /** Whether bytes other than line ends have followed the last event boundary. */
+    boolean isInsideEvent() {
+        return pending.forEachByte(ByteProcessor.FIND_NON_CRLF) >= 0;
     }
 
     /** The identifier of the last complete event that has one. */
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerAttempt.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerAttempt.java
@@ -210,6 +210,11 @@
             return;
         }
         ByteBuf events = splitter.append(bytes);
+        if (splitter.isEventTooLong()) {
+            events.release();
+            rejectResponse("an event of the stream has no end");
+            return;
+        }
         if (events.isReadable()) {
             splitter.lastEventIdentifier().ifPresent(exchange.stream()::recordLastEvent);
             exchange.forward(this, head, events);
--- a/mangowall-edge/src/test/java/org/mangowall/edge/traffic/EventSplitterTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/traffic/EventSplitterTest.java
@@ -55,12 +55,23 @@
     }
 
     @Test
-    void streamIsInsideAnEventOfWhichAPartWasPassedOn() {
+    void anEventWithoutEndIsTooLong() {
         EventSplitter splitter = new EventSplitter();
-        String start = "data: " + "a".repeat(1 << 20);
-        assertEquals(start, append(splitter, start));
+        String allowed = "data: " + "a".repeat((1 << 20) - 6);
+        assertEquals("", append(splitter, allowed));
+        assertFalse(splitter.isEventTooLong());
+        assertEquals("", append(splitter, "b"));
+        assertTrue(splitter.isEventTooLong());
         assertTrue(splitter.isInsideEvent());
-        assertEquals("b\n\n", append(splitter, "b\n\n"));
+    }
+
+    @Test
+    void theLongestEventIsPassedOnWhole() {
+        EventSplitter splitter = new EventSplitter();
+        String event = "data: " + "a".repeat((1 << 20) - 8) + "\n\n";
+        assertEquals("", append(splitter, event.substring(0, event.length() - 1)));
+        assertFalse(splitter.isEventTooLong());
+        assertEquals(event, append(splitter, event.substring(event.length() - 1)));
         assertFalse(splitter.isInsideEvent());
     }
 
