Abort an error response that has no end

A runner in trouble may send the body of an error without end. A host buffered a megabyte of it and passed the rest on to the caller until the deadline of the request.

Change: a failed response over the size that is buffered ends the attempt as invalid. Successful documents of any length are passed on as before.

EndlessResponseTest.bodyWithoutEndOfAnErrorIsAborted: before, all 67,125,240 bytes were read; passes now.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerAttempt.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerAttempt.java
@@ -226,6 +226,10 @@
             buffered.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
             return;
         }
+        if (head.status().code() >= FIRST_ERROR_STATUS) {
+            rejectResponse("the error response has no end");
+            return;
+        }
         isStreaming = true;
         ByteBuf first = buffered;
         buffered = Unpooled.EMPTY_BUFFER;
