Stop reading a refusal that a runner sends without end in the router

Change: a refusal's body is read up to 64 KB, then the connection is closed and the refusal counts.

RunnerFailureTest.aRejectionWithoutEndGivesNotRun, for callers of both routers: before 504 runner-timeout, unknown; now 503 retries-exhausted, not-run. The other cases of RunnerFailureTest pass.

--- a/mangowall-router/src/main/java/org/mangowall/router/runner/RunnerCall.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/runner/RunnerCall.java
@@ -29,6 +29,8 @@
     private static final int STATUS_SERVICE_UNAVAILABLE = 503;
     private static final String NOT_RUN_HEADER = "x-not-run";
     private static final long COST_REPORT_PERIOD_MILLIS = 250;
+    /** A longer body of a refusal is not read on: a runner in trouble may send bytes without end. */
+    private static final int MAX_REFUSAL_BYTES = 1 << 16;
 
     private enum Stage {
         CONNECTING,
@@ -199,10 +201,13 @@
     public State onBodyPartReceived(HttpResponseBodyPart part) {
         lastProgressMillis = clock.millis();
         byte[] bytes = part.getBodyPartBytes();
-        if (refused || bytes.length == 0) {
+        bodyBytes += bytes.length;
+        if (refused) {
+            return bodyBytes > MAX_REFUSAL_BYTES ? State.ABORT : State.CONTINUE;
+        }
+        if (bytes.length == 0) {
             return State.CONTINUE;
         }
-        bodyBytes += bytes.length;
         meter.accept(bytes);
         sink.body(bytes);
         reportCost();
--- a/mangowall-router/src/test/java/org/mangowall/router/RunnerFailureTest.java
+++ b/mangowall-router/src/test/java/org/mangowall/router/RunnerFailureTest.java
@@ -5,6 +5,7 @@
 import java.net.http.HttpResponse;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -54,6 +55,27 @@
         }
     }
 
+    /** A runner in trouble may send bytes without end until the router closes the connection. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1})
+    void aRejectionWithoutEndGivesNotRun(int router) throws Exception {
+        int maxChunks = 4_096;
+        AtomicInteger chunks = new AtomicInteger();
+        try (FakeRunner plain = new FakeRunner((call, socket) -> {
+                    chunks.set(0);
+                    FakeRunner.write(
+                            socket,
+                            "HTTP/1.1 503 Service Unavailable\r\nx-not-run: yes\r\ntransfer-encoding: chunked\r\n\r\n");
+                    while (chunks.incrementAndGet() < maxChunks) {
+                        FakeRunner.writeChunk(socket, "x".repeat(16_384));
+                    }
+                });
+                TestFleet fleet = TestFleet.of(2, TestFleet.inventory(closedPort(), plain.port()))) {
+            assertOutcome(503, "retries-exhausted", "not-run", fleet.post(router, "/services/register/entries", "one"));
+            assertTrue(chunks.get() < maxChunks, "the router read the whole body");
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {0, 1})
     void aLostConnectionGivesUnknownAfterOneAttempt(int router) throws Exception {
