Keep quarantined prompt parts apart from suspected ones

When a zone fails, thousands of parts of other requests are recorded and push the quarantine out, and requests with the part crash runners again.

Change: quarantines have a table of their own, which only a complete run clears; the bound is that of suspects. Record is Suspect now, which doesn't hide java.lang.Record.

PartQuarantineTest.aQuarantineOutlivesManyOtherLosses failed before and passes; its other cases pass unchanged.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/PartQuarantine.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/PartQuarantine.java
@@ -1,6 +1,7 @@
 package org.mangowall.edge.decision;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -15,9 +16,8 @@
  * Finds prompt parts that crash runners, from the runs of all hosts, and quarantines them.
  *
  * <p>A crash ends all requests of a runner, so most of the parts that it is seen with are sound. A part is quarantined
- * after several lost runs in a row, each at another incarnation of a runner than the one before and sent after that one was lost, without
- * a complete run in between. A complete run clears the part. The last part of a prompt belongs to one request or
- * session and isn't judged.
+ * after several lost runs in a row, each sent after the one before was lost, and to another incarnation of a runner. A
+ * complete run clears the part. The last part of a prompt belongs to one request or session and isn't judged.
  */
 final class PartQuarantine {
 
@@ -30,15 +30,18 @@
     /** Upper bound of the age of another host's report, by which its requests may have been sent earlier. */
     private static final long MAX_REPORT_DELAY_NANOS = 300_000_000L;
     /** Parts of lost runs that are remembered; the oldest are forgotten first. */
-    private static final int MAX_RECORDS = 4_096;
+    private static final int MAX_SUSPECTS = 4_096;
 
     private final String self;
-    private final Map<Long, Record> records = new LinkedHashMap<>() {
+    /** The parts of runs that were lost since their last complete run. */
+    private final Map<Long, Suspect> suspects = new LinkedHashMap<>() {
         @Override
-        protected boolean removeEldestEntry(Map.Entry<Long, Record> eldest) {
-            return size() > MAX_RECORDS;
+        protected boolean removeEldestEntry(Map.Entry<Long, Suspect> eldest) {
+            return size() > MAX_SUSPECTS;
         }
     };
+    /** When the quarantine of each part ends; a part stays here until a complete run clears it. */
+    private final Map<Long, Long> endByPart = new HashMap<>();
 
     private final List<Long> newlyQuarantined = new ArrayList<>();
 
@@ -46,22 +49,22 @@
         this.self = self;
     }
 
-    /** What is known of a part since its last complete run. */
-    private static final class Record {
+    /** The lost runs of a part since its last complete run. */
+    private static final class Suspect {
         private final Set<String> hosts = new HashSet<>();
         private int lostRuns;
-        private long lastLostAt = Long.MIN_VALUE;
-        /** The incarnation of a runner that was lost last. */
+        private long lastLostAt;
         private RunnerEntry lastRunner;
 
-        private long until = Long.MIN_VALUE;
-
-        boolean isIndependent(RunnerEntry runner, long sentAt) {
-            return lastRunner == null || sentAt > lastLostAt && !runner.isSameIncarnation(lastRunner);
-        }
-
-        boolean isQuarantined(long now) {
-            return until > now;
+        /** Counts a lost run unless it may have been lost for the same reason as the one before. */
+        void recordLost(String host, RunnerEntry runner, long sentAt, long now) {
+            boolean isIndependent = lostRuns == 0 || sentAt > lastLostAt && !runner.isSameIncarnation(lastRunner);
+            if (isIndependent) {
+                lostRuns += 1;
+                hosts.add(host);
+                lastLostAt = now;
+                lastRunner = runner;
+            }
         }
     }
 
@@ -74,65 +77,61 @@
     void recordLost(InFlightRequest request, String host, int hostCount, long now) {
         long reportDelay = host.equals(self) ? 0 : MAX_REPORT_DELAY_NANOS;
         for (PromptPart part : judged(request.sent().parts())) {
-            Record known = records.computeIfAbsent(part.identifier(), unknown -> new Record());
-            if (!known.isIndependent(request.runner().entry(), request.sentAt() - reportDelay)) {
-                continue;
-            }
-            known.lostRuns += 1;
-            known.hosts.add(host);
-            known.lastLostAt = now;
-            known.lastRunner = request.runner().entry();
-            if (known.lostRuns >= MIN_LOST_RUNS && known.hosts.size() >= Math.min(MIN_HOSTS, hostCount)) {
-                begin(part.identifier(), known, now + DURATION_NANOS, now);
+            Suspect suspect = suspects.computeIfAbsent(part.identifier(), unknown -> new Suspect());
+            suspect.recordLost(host, request.runner().entry(), request.sentAt() - reportDelay, now);
+            boolean isConvicted =
+                    suspect.lostRuns >= MIN_LOST_RUNS && suspect.hosts.size() >= Math.min(MIN_HOSTS, hostCount);
+            if (isConvicted || endByPart.containsKey(part.identifier())) {
+                begin(part.identifier(), now + DURATION_NANOS, now);
             }
         }
     }
 
-    private void begin(long part, Record known, long until, long now) {
-        if (!known.isQuarantined(now)) {
+    private void begin(long part, long end, long now) {
+        if (!isQuarantined(part, now)) {
             newlyQuarantined.add(part);
         }
-        known.until = Math.max(known.until, until);
+        endByPart.merge(part, end, Math::max);
+    }
+
+    private boolean isQuarantined(long part, long now) {
+        Long end = endByPart.get(part);
+        return end != null && end > now;
     }
 
     /** Records a complete run, which shows that none of its parts crashes runners. */
     void recordComplete(InFlightRequest request) {
-        if (!records.isEmpty()) {
-            judged(request.sent().parts()).forEach(part -> records.remove(part.identifier()));
+        for (PromptPart part : judged(request.sent().parts())) {
+            suspects.remove(part.identifier());
+            endByPart.remove(part.identifier());
         }
     }
 
     /** Adopts a quarantine of another host, unless the part is in quarantine here. */
     void adopt(LoadEvent.PartQuarantined quarantined, long now) {
-        Record known = records.computeIfAbsent(quarantined.part(), unknown -> new Record());
-        if (!known.isQuarantined(now)) {
-            known.lostRuns = Math.max(known.lostRuns, MIN_LOST_RUNS);
-            known.lastLostAt = now;
-            begin(quarantined.part(), known, now + quarantined.remainingNanos(), now);
+        if (!isQuarantined(quarantined.part(), now)) {
+            begin(quarantined.part(), now + quarantined.remainingNanos(), now);
         }
     }
 
     /** Returns how long a prompt must not be sent to runners, in nanoseconds; empty if it may be sent. */
     Optional<Long> remainingNanos(List<PromptPart> parts, long now) {
-        if (records.isEmpty()) {
+        if (endByPart.isEmpty()) {
             return Optional.empty();
         }
         return judged(parts).stream()
-                .map(part -> records.get(part.identifier()))
-                .filter(known -> known != null && known.isQuarantined(now))
-                .map(known -> known.until - now)
+                .map(PromptPart::identifier)
+                .filter(part -> isQuarantined(part, now))
+                .map(part -> endByPart.get(part) - now)
                 .max(Long::compare);
     }
 
     /** Returns all quarantined parts, for other hosts. */
     List<LoadEvent.PartQuarantined> quarantined(long now) {
-        List<LoadEvent.PartQuarantined> parts = new ArrayList<>();
-        records.forEach((part, known) -> {
-            if (known.isQuarantined(now)) {
-                parts.add(new LoadEvent.PartQuarantined(part, known.until - now));
-            }
-        });
-        return parts;
+        return endByPart.entrySet().stream()
+                .filter(part -> part.getValue() > now)
+                .map(part -> new LoadEvent.PartQuarantined(part.getKey(), part.getValue() - now))
+                .toList();
     }
 
     /** Returns and clears the parts whose quarantine began since the last call. */
--- a/mangowall-edge/src/test/java/org/mangowall/edge/decision/PartQuarantineTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/decision/PartQuarantineTest.java
@@ -168,6 +168,17 @@
         assertTrue(isQuarantined(FIRST, CRASHING, 20));
     }
 
+    /** Many lost runs, such as when a zone fails, don't end a quarantine. */
+    @Test
+    void aQuarantineOutlivesManyOtherLosses() {
+        crashThreeRunners();
+        for (long part = 1_000; part < 7_000; part++) {
+            long number = send("self", 4, parts(part, 90));
+            end("self", number, RunOutcome.LOST);
+        }
+        assertTrue(isQuarantined(FIRST, CRASHING, 20));
+    }
+
     /** A host that was started or missed reports learns of the quarantine from the full reports of the others. */
     @Test
     void theQuarantineOfAnotherHostIsAdopted() {
