--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
@@ -335,7 +335,9 @@
         switch (outcome) {
             case COMPLETE -> quarantine.recordComplete(request);
             case LOST -> quarantine.recordLost(request, host, hosts.size(), now);
-            case OTHER -> {}
+            default -> {
+                // Other outcomes say nothing about the prompt.
+            }
         }
     }
 
