Count no usage as zero also while nothing runs

WorkspaceSharesTest.usageIsZeroWhileNothingRuns failed before (NaN) and passes; PlacementLoadTest and FleetLoadTest pass unchanged.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/FairShareUsage.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/FairShareUsage.java
@@ -8,6 +8,7 @@
  */
 public record FairShareUsage(double ofRatedShare, double ofCurrentShare) {
 
+    static final FairShareUsage ZERO = new FairShareUsage(0, 0);
     /** Exactly the fair share, for requests without a workspace. */
     static final FairShareUsage EQUAL = new FairShareUsage(1, 1);
 }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/WorkspaceShares.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/WorkspaceShares.java
@@ -70,7 +70,7 @@
         }
         SlidingWindowSum used = tokensByWorkspace.get(workspace);
         double tokens = waitingByWorkspace.getOrDefault(workspace, 0.0) + (used == null ? 0 : used.sum(now));
-        return new FairShareUsage(tokens / ratedShare, tokens / currentShare);
+        return tokens == 0 ? FairShareUsage.ZERO : new FairShareUsage(tokens / ratedShare, tokens / currentShare);
     }
 
     private void recompute(double ratedTokens, long now) {
--- a/mangowall-edge/src/test/java/org/mangowall/edge/decision/WorkspaceSharesTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/decision/WorkspaceSharesTest.java
@@ -28,6 +28,13 @@
         assertEquals(0, shares.usageOf("starved", UNLIMITED, 0).ofCurrentShare());
     }
 
+    /** A host that has just started may turn requests away before any run is known. */
+    @Test
+    void usageIsZeroWhileNothingRuns() {
+        shares.recordTurnedAway("starved", 700, 0);
+        assertEquals(new FairShareUsage(0, 0), shares.usageOf("starved", UNLIMITED, 0));
+    }
+
     @Test
     void claimsExpireWithTheWindow() {
         shares.recordTurnedAway("small", 700, 0);
