--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/PartQuarantine.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/PartQuarantine.java
@@ -21,9 +21,9 @@
  */
 final class PartQuarantine {
 
-    /** A part that isn't involved survives one of this many independent runs nearly always. */
+    /** A sound part nearly always has a complete run among this many independent ones. */
     private static final int MIN_LOST_RUNS = 3;
-    /** With losses at one host only, the network of that host may be the cause. */
+    /** Losses at one host only may be caused by the network of that host. */
     private static final int MIN_HOSTS = 2;
     /** Long enough to spare the runners of a fleet, short enough for a part that is judged wrongly. */
     private static final long DURATION_NANOS = 300_000_000_000L;
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/WorkspaceShares.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/WorkspaceShares.java
@@ -44,7 +44,7 @@
         waitingByWorkspace.merge(workspace, costTokens, Double::sum);
     }
 
-    /** The run of a request has begun, or it ended without a run, which costs its workspace nothing. */
+    /** Stops counting a request as waiting: its run has begun, or it ended without a run. */
     void endWait(String workspace, double costTokens) {
         waitingByWorkspace.computeIfPresent(
                 workspace, (name, waiting) -> waiting <= costTokens ? null : waiting - costTokens);
