--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
@@ -444,6 +444,18 @@
         runnerState(identifier).ifPresent(runner -> runner.coldStartLimiter().markColdUntil(now + leftNanos));
     }
 
+    /**
+     * Records the rate limit that a runner states in a response.
+     *
+     * @param stated requests per second from all hosts together; empty if the response states no limit
+     * @return whether it differs from what the runner stated before
+     */
+    public boolean recordRateLimit(String identifier, Optional<Double> stated) {
+        return runnerState(identifier)
+                .map(runner -> runner.recordRateLimit(stated))
+                .orElse(false);
+    }
+
     /** Records the time to first token of a stream, which updates the service's model and the runner's slowness. */
     public void recordFirstToken(String identifier, double waitedTokens, double millis) {
         runnerState(identifier).ifPresent(runner -> {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/RunnerState.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/RunnerState.java
@@ -1,5 +1,6 @@
 package org.mangowall.edge.decision;
 
+import java.util.Optional;
 import org.mangowall.edge.model.EngineTraits;
 import org.mangowall.edge.model.RunnerEntry;
 
@@ -23,6 +24,8 @@
     private long memoryTokens;
     /** Moving average of the observed time to first token relative to the service's model. */
     private double slowness = 1;
+    /** The rate limit that the runner stated last. */
+    private Optional<Double> rateLimit = Optional.empty();
 
     RunnerState(RunnerEntry entry, EngineTraits traits) {
         this.entry = entry;
@@ -78,6 +81,13 @@
         slowness = (1 - SLOWNESS_WEIGHT) * slowness + SLOWNESS_WEIGHT * bounded;
     }
 
+    /** Records the rate limit of a response; returns whether it differs from the one before. */
+    boolean recordRateLimit(Optional<Double> stated) {
+        boolean isChanged = !rateLimit.equals(stated);
+        rateLimit = stated;
+        return isChanged;
+    }
+
     void begin(InFlightRequest request) {
         running += 1;
         pendingPrefillTokens += request.sent().prefillTokens();
--- a/mangowall-edge/src/main/java/org/mangowall/edge/model/RunnerResponse.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/model/RunnerResponse.java
@@ -12,6 +12,7 @@
  * @param isNotExecuted whether the runner states that it hasn't executed the request
  * @param isMisdirected whether a different runner uses the address now
  * @param coldLeft remaining time for which the runner is cold
+ * @param rateLimit requests per second that the runner accepts from all hosts together; empty if it states no limit
  * @param idleTimeout how long the runner keeps an idle connection open
  * @param isConnectionClosing whether the runner closes the connection after this response
  */
@@ -22,6 +23,7 @@
         boolean isNotExecuted,
         boolean isMisdirected,
         Optional<Duration> coldLeft,
+        Optional<Double> rateLimit,
         Optional<Duration> idleTimeout,
         boolean isConnectionClosing) {
 
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
@@ -297,6 +297,11 @@
         reject(FailureCode.RETRIES_EXHAUSTED, REJECTED_RETRY_AFTER_MILLIS);
     }
 
+    /** The runner stated another rate limit than in the responses before, or none any more. */
+    void rateLimitChanged(RunnerAttempt source, Optional<Double> stated) {
+        log.rateLimitChanged(this, source, stated);
+    }
+
     /** The runner has sent nothing for longer than its stall timeout. */
     void attemptStalled(RunnerAttempt tried) {
         log.attemptFailed(this, "silent", tried, "no data received for " + Math.round(tried.elapsedMillis()) + " ms");
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/ExchangeLog.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/ExchangeLog.java
@@ -99,6 +99,17 @@
         });
     }
 
+    void rateLimitChanged(Exchange exchange, RunnerAttempt source, Optional<Double> stated) {
+        context.log().write("rate-limit", line -> {
+            writeRequest(line, exchange);
+            line.writeStringField("runner", source.runner().identifier());
+            line.writeBooleanField("isLimited", stated.isPresent());
+            line.writeNumberField("requestsPerSecond", stated.orElse(0.0));
+            line.writeNumberField(
+                    "running", context.fleet().runningAt(source.runner().identifier()));
+        });
+    }
+
     private static void writePromptParts(JsonGenerator line, List<PromptPart> parts) throws IOException {
         if (parts.isEmpty()) {
             return;
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerAttempt.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerAttempt.java
@@ -152,6 +152,7 @@
         response.coldLeft()
                 .ifPresent(
                         left -> context.fleet().recordColdTime(runner().identifier(), left.toNanos(), context.now()));
+        recordRateLimit(response);
         if (response.isNotExecuted()) {
             isDiscardingResponse = true;
             finish(RunOutcome.OTHER);
@@ -177,6 +178,15 @@
         }
     }
 
+    private void recordRateLimit(RunnerResponse response) {
+        if (response.isMisdirected()) {
+            return;
+        }
+        if (context.fleet().recordRateLimit(runner().identifier(), response.rateLimit())) {
+            exchange.rateLimitChanged(this, response.rateLimit());
+        }
+    }
+
     /** Whether the body consists of events; a runner of streams need not state the media type. */
     private static boolean isEventStream(HttpResponse newHead) {
         String mediaType = newHead.headers().get(HttpHeaderNames.CONTENT_TYPE, EVENT_STREAM);
--- a/mangowall-edge/src/test/java/org/mangowall/edge/traffic/RunnerConnectionTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/traffic/RunnerConnectionTest.java
@@ -114,6 +114,7 @@
                     false,
                     Optional.empty(),
                     Optional.empty(),
+                    Optional.empty(),
                     false);
         }
 
