--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/ColdStartLimiter.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/ColdStartLimiter.java
@@ -30,7 +30,7 @@
         if (!isCold(now) || requestsPerSecond <= 0) {
             return true;
         }
-        return now >= nextAllowedAt && isSender(runner, self, hosts);
+        return now >= nextAllowedAt && Rendezvous.isAmongHighest(runner, self, hosts, MAX_SENDERS);
     }
 
     void recordSent(int hosts, double requestsPerSecond, long now) {
@@ -40,18 +40,4 @@
         int senders = Math.clamp(hosts, 1, MAX_SENDERS);
         nextAllowedAt = now + (long) (NANOS_PER_SECOND * senders / requestsPerSecond);
     }
-
-    private static boolean isSender(String runner, String self, Collection<String> hosts) {
-        if (hosts.size() <= MAX_SENDERS) {
-            return true;
-        }
-        long ownWeight = Rendezvous.weight(runner, self);
-        int higherRanked = 0;
-        for (String host : hosts) {
-            if (!host.equals(self) && Rendezvous.weight(runner, host) > ownWeight) {
-                higherRanked += 1;
-            }
-        }
-        return higherRanked < MAX_SENDERS;
-    }
 }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.mangowall.edge.model.EngineTraits;
 import org.mangowall.edge.model.PromptPart;
@@ -27,6 +28,9 @@
     /** Requests of other hosts that are older than this are dropped: their end event was lost. */
     private static final long IN_FLIGHT_EXPIRY_NANOS = 20_000_000_000L;
 
+    /** Longer than the interval of full reports, so that a host reports each limit that it was told since the last one. */
+    private static final long RATE_LIMIT_REPORT_AGE_NANOS = 3_000_000_000L;
+
     private final String self;
     private final Map<String, RunnerState> runners = new HashMap<>();
     private final Map<String, ServiceState> services = new HashMap<>();
@@ -243,6 +247,7 @@
                     end(inFlight.remove(sent.number()));
                     begin(inFlight, new InFlightRequest(sent, runner, now));
                     runner.coldStartLimiter().recordSent(hosts.size(), coldRate(runner), now);
+                    runner.rateLimiter().recordSent(now);
                 }
             }
             case LoadEvent.ResponseStarted started -> {
@@ -253,6 +258,10 @@
             }
             case LoadEvent.Ended ended -> ended(host, inFlight.remove(ended.number()), ended.outcome(), now);
             case LoadEvent.PartQuarantined quarantined -> quarantine.adopt(quarantined, now);
+            case LoadEvent.RateLimitStated stated ->
+                runnerState(stated.runner())
+                        .ifPresent(runner ->
+                                runner.rateLimiter().adopt(stated.requestsPerSecond(), now - stated.ageNanos(), now));
             case LoadEvent.TurnedAway turnedAway ->
                 shares.recordTurnedAway(turnedAway.workspace(), turnedAway.costTokens(), now);
             case LoadEvent.PartsCached partsCached -> recordCachedParts(partsCached);
@@ -445,17 +454,39 @@
     }
 
     /**
-     * Records the rate limit that a runner states in a response.
+     * Records the rate limit that a runner states in a response to this host.
      *
      * @param stated requests per second from all hosts together; empty if the response states no limit
-     * @return whether it differs from what the runner stated before
+     * @param sentAt when the request was sent
+     * @return whether the limit of the runner changed
      */
-    public boolean recordRateLimit(String identifier, Optional<Double> stated) {
+    public boolean recordRateLimit(String identifier, Optional<Double> stated, long sentAt, long now) {
         return runnerState(identifier)
-                .map(runner -> runner.recordRateLimit(stated))
+                .map(runner -> runner.rateLimiter().recordResponse(stated, sentAt, now))
                 .orElse(false);
     }
 
+    /** Returns what runners stated to this host lately, also that a limit ended, for its full report to other hosts. */
+    public List<LoadEvent.RateLimitStated> recentRateLimits(long now) {
+        return rateLimits(limiter -> limiter.wasReceivedWithin(RATE_LIMIT_REPORT_AGE_NANOS, now), now);
+    }
+
+    /** Returns all rate limits in force, for a host that has just started. */
+    public List<LoadEvent.RateLimitStated> rateLimits(long now) {
+        return rateLimits(limiter -> limiter.limit().isPresent(), now);
+    }
+
+    private List<LoadEvent.RateLimitStated> rateLimits(Predicate<StatedRateLimiter> isIncluded, long now) {
+        List<LoadEvent.RateLimitStated> stated = new ArrayList<>();
+        runners.forEach((identifier, runner) -> {
+            StatedRateLimiter limiter = runner.rateLimiter();
+            if (isIncluded.test(limiter)) {
+                stated.add(new LoadEvent.RateLimitStated(identifier, limiter.limit(), now - limiter.statedAt()));
+            }
+        });
+        return stated;
+    }
+
     /** Records the time to first token of a stream, which updates the service's model and the runner's slowness. */
     public void recordFirstToken(String identifier, double waitedTokens, double millis) {
         runnerState(identifier).ifPresent(runner -> {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/LoadEvent.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/LoadEvent.java
@@ -68,6 +68,15 @@
      */
     record PartQuarantined(long part, long remainingNanos) implements LoadEvent {}
 
+    /**
+     * A runner stated in a response how many requests it accepts.
+     *
+     * @param runner the identifier of the runner
+     * @param requestsPerSecond the limit for all hosts together; empty if it states none any more
+     * @param ageNanos how long ago it stated that
+     */
+    record RateLimitStated(String runner, Optional<Double> requestsPerSecond, long ageNanos) implements LoadEvent {}
+
     /**
      * A runner couldn't be reached.
      *
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/Placement.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/Placement.java
@@ -159,7 +159,7 @@
         if (request.excluded().contains(runner.entry().identifier()) || !fleet.acceptsRequests(runner.entry())) {
             return false;
         }
-        if (runner.health().isPaused(now) || !hasRequiredVersion(runner, request)) {
+        if (runner.health().isPaused(now) || !hasRequiredVersion(runner, request) || !rateLimitAllows(runner, now)) {
             return false;
         }
         if (service.engine().isEmpty()) {
@@ -174,6 +174,10 @@
                 && coldStartAllows(service, runner, now);
     }
 
+    private boolean rateLimitAllows(RunnerState runner, long now) {
+        return runner.rateLimiter().allows(runner.entry().identifier(), fleet.self(), fleet.hosts(), now);
+    }
+
     private boolean coldStartAllows(ServiceState service, RunnerState runner, long now) {
         return runner.coldStartLimiter()
                 .allows(runner.entry().identifier(), fleet.self(), fleet.hosts(), service.coldRequestsPerSecond(), now);
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/Rendezvous.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/Rendezvous.java
@@ -1,5 +1,7 @@
 package org.mangowall.edge.decision;
 
+import java.util.Collection;
+
 /** Rendezvous hashing: each host ranks the candidates for a key in the same pseudo-random order. */
 public final class Rendezvous {
 
@@ -12,4 +14,24 @@
         mixed = (mixed ^ (mixed >>> 27)) * 0x94D049BB133111EBL;
         return mixed ^ (mixed >>> 31);
     }
+
+    /**
+     * Returns whether a candidate is among those with the highest weights for a key.
+     *
+     * @param candidates all candidates, which may include the one asked for
+     * @param count how many are chosen
+     */
+    static boolean isAmongHighest(String key, String candidate, Collection<String> candidates, int count) {
+        if (candidates.size() <= count) {
+            return true;
+        }
+        long ownWeight = weight(key, candidate);
+        int higherRanked = 0;
+        for (String other : candidates) {
+            if (!other.equals(candidate) && weight(key, other) > ownWeight) {
+                higherRanked += 1;
+            }
+        }
+        return higherRanked < count;
+    }
 }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/RunnerState.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/RunnerState.java
@@ -1,6 +1,5 @@
 package org.mangowall.edge.decision;
 
-import java.util.Optional;
 import org.mangowall.edge.model.EngineTraits;
 import org.mangowall.edge.model.RunnerEntry;
 
@@ -16,6 +15,7 @@
 
     private final RunnerHealth health = new RunnerHealth();
     private final ColdStartLimiter coldStartLimiter = new ColdStartLimiter();
+    private final StatedRateLimiter rateLimiter = new StatedRateLimiter();
     private RunnerEntry entry;
     private final PrefixCache cache;
     private int running;
@@ -24,8 +24,6 @@
     private long memoryTokens;
     /** Moving average of the observed time to first token relative to the service's model. */
     private double slowness = 1;
-    /** The rate limit that the runner stated last. */
-    private Optional<Double> rateLimit = Optional.empty();
 
     RunnerState(RunnerEntry entry, EngineTraits traits) {
         this.entry = entry;
@@ -56,6 +54,10 @@
         return coldStartLimiter;
     }
 
+    StatedRateLimiter rateLimiter() {
+        return rateLimiter;
+    }
+
     PrefixCache cache() {
         return cache;
     }
@@ -81,13 +83,6 @@
         slowness = (1 - SLOWNESS_WEIGHT) * slowness + SLOWNESS_WEIGHT * bounded;
     }
 
-    /** Records the rate limit of a response; returns whether it differs from the one before. */
-    boolean recordRateLimit(Optional<Double> stated) {
-        boolean isChanged = !rateLimit.equals(stated);
-        rateLimit = stated;
-        return isChanged;
-    }
-
     void begin(InFlightRequest request) {
         running += 1;
         pendingPrefillTokens += request.sent().prefillTokens();
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/HostMessage.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/HostMessage.java
@@ -29,10 +29,10 @@
     record Reports(List<HostReport> reports) implements HostMessage {}
 
     /**
-     * What a host that has just started can't know: the prompt parts that runners have cached, and where recent streams
-     * began.
+     * What a host that has just started can't know: the prompt parts that runners have cached, where recent streams
+     * began, which prompt parts are in quarantine and which rate limits runners have stated.
      *
-     * @param events one {@code PartsCached} event for each runner, and one {@code StreamBegan} event for each stream
+     * @param events the state as events, such as one {@code PartsCached} for each runner
      */
     record Handover(List<LoadEvent> events) implements HostMessage {}
 
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerCodec.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerCodec.java
@@ -37,6 +37,7 @@
     private static final int EVENT_STREAM_BEGAN = 6;
     private static final int EVENT_TURNED_AWAY = 7;
     private static final int EVENT_PART_QUARANTINED = 8;
+    private static final int EVENT_RATE_LIMIT_STATED = 9;
 
     private PeerCodec() {}
 
@@ -152,6 +153,12 @@
                 packer.packInt(EVENT_PART_QUARANTINED)
                         .packLong(quarantined.part())
                         .packLong(quarantined.remainingNanos());
+            case LoadEvent.RateLimitStated stated -> {
+                packer.packInt(EVENT_RATE_LIMIT_STATED).packString(stated.runner());
+                packer.packBoolean(stated.requestsPerSecond().isPresent());
+                packer.packDouble(stated.requestsPerSecond().orElse(0.0));
+                packer.packLong(stated.ageNanos());
+            }
             case LoadEvent.TurnedAway turnedAway ->
                 packer.packInt(EVENT_TURNED_AWAY)
                         .packString(turnedAway.workspace())
@@ -286,11 +293,20 @@
             case EVENT_PARTS_CACHED -> new LoadEvent.PartsCached(unpacker.unpackString(), unpackParts(unpacker));
             case EVENT_STREAM_BEGAN -> new LoadEvent.StreamBegan(unpackOrigin(unpacker));
             case EVENT_PART_QUARANTINED -> new LoadEvent.PartQuarantined(unpacker.unpackLong(), unpacker.unpackLong());
+            case EVENT_RATE_LIMIT_STATED -> unpackRateLimit(unpacker);
             case EVENT_TURNED_AWAY -> new LoadEvent.TurnedAway(unpacker.unpackString(), unpacker.unpackLong());
             default -> throw new MangowallException(FailureCode.FRAME_INVALID, "unknown load event type " + type);
         };
     }
 
+    private static LoadEvent unpackRateLimit(MessageUnpacker unpacker) throws IOException {
+        String runner = unpacker.unpackString();
+        boolean isLimited = unpacker.unpackBoolean();
+        double requestsPerSecond = unpacker.unpackDouble();
+        return new LoadEvent.RateLimitStated(
+                runner, isLimited ? Optional.of(requestsPerSecond) : Optional.empty(), unpacker.unpackLong());
+    }
+
     private static RunOutcome unpackOutcome(MessageUnpacker unpacker) throws IOException {
         int ordinal = unpacker.unpackInt();
         RunOutcome[] outcomes = RunOutcome.values();
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
@@ -328,6 +328,7 @@
         List<LoadEvent> events = new ArrayList<>(fleet.cachedParts());
         events.addAll(fleet.recentStreams(now));
         events.addAll(fleet.quarantinedParts(now));
+        events.addAll(fleet.rateLimits(now));
         return events;
     }
 
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/Reporter.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/Reporter.java
@@ -74,10 +74,14 @@
         return reports;
     }
 
-    /** A report of the identity of this host, all its in-flight requests and all quarantined prompt parts. */
+    /**
+     * A report of the identity of this host, all its in-flight requests, all quarantined prompt parts and the rate
+     * limits that runners stated to it lately.
+     */
     HostReport fullReport(long now) {
         List<LoadEvent> events = new ArrayList<>(fleet.ownInFlightRequests());
         events.addAll(fleet.quarantinedParts(now));
+        events.addAll(fleet.recentRateLimits(now));
         return report(Optional.of(self), events, now);
     }
 
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerAttempt.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerAttempt.java
@@ -182,8 +182,10 @@
         if (response.isMisdirected()) {
             return;
         }
-        if (context.fleet().recordRateLimit(runner().identifier(), response.rateLimit())) {
+        String identifier = runner().identifier();
+        if (context.fleet().recordRateLimit(identifier, response.rateLimit(), sentAt, context.now())) {
             exchange.rateLimitChanged(this, response.rateLimit());
+            context.publish(new LoadEvent.RateLimitStated(identifier, response.rateLimit(), 0));
         }
     }
 
--- a/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerCodecTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerCodecTest.java
@@ -70,6 +70,8 @@
                         new LoadEvent.Ended(1, RunOutcome.COMPLETE),
                         new LoadEvent.Ended(2, RunOutcome.LOST),
                         new LoadEvent.PartQuarantined(-1, 5_000_000_000L),
+                        new LoadEvent.RateLimitStated("r", Optional.of(7.25), 8),
+                        new LoadEvent.RateLimitStated("r", Optional.empty(), 0),
                         new LoadEvent.Unreachable("r"),
                         new LoadEvent.PartsCached("r", PARTS),
                         new LoadEvent.StreamBegan(ORIGIN),
