--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -62,6 +63,7 @@
     private RunnerAttempt attempt;
     private RunnerAttempt lastSent;
     private ScheduledFuture<?> deadline;
+    private OptionalLong fingerprint = OptionalLong.empty();
     private double timeoutMillis;
     private int offers;
     private int runs;
@@ -232,6 +234,14 @@
         return request.prompt().map(PromptDescription::parts).orElse(List.of());
     }
 
+    /** The fingerprint of the request, computed when it is first needed; valid until the request ends. */
+    long fingerprint() {
+        if (fingerprint.isEmpty()) {
+            fingerprint = OptionalLong.of(RequestFingerprint.of(workspace.orElse(""), request.hostName(), head, body));
+        }
+        return fingerprint.getAsLong();
+    }
+
     /** The number of times the request was offered to a runner. */
     int offers() {
         return offers;
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/ExchangeLog.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/ExchangeLog.java
@@ -92,6 +92,7 @@
             writeRequest(line, exchange);
             line.writeStringField("runner", tried.runner().identifier());
             line.writeStringField("reason", reason);
+            line.writeStringField("fingerprint", Long.toHexString(exchange.fingerprint()));
             line.writeNumberField("runs", exchange.runs());
             line.writeNumberField("elapsedMillis", Math.round(exchange.elapsedMillis()));
             writePromptParts(line, exchange.promptParts());
