--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Predicate;
 
@@ -40,7 +41,7 @@
 
     private final StreamOrigins streamOrigins = new StreamOrigins();
     private final Set<String> closedZones = new HashSet<>();
-    private final PartQuarantine quarantine;
+    private final CrashQuarantine quarantine;
     private final WorkspaceShares shares;
     private Collection<String> hosts;
     private double tokensPerSecond;
@@ -55,7 +56,7 @@
     public FleetLoad(String self, long shareWindowNanos) {
         this.self = self;
         this.hosts = List.of(self);
-        this.quarantine = new PartQuarantine(self);
+        this.quarantine = new CrashQuarantine(self);
         this.shares = new WorkspaceShares(shareWindowNanos);
     }
 
@@ -149,18 +150,28 @@
                 .toList();
     }
 
-    /** Returns how long a prompt must not be sent because a part of it crashes runners; empty if it may be sent. */
-    Optional<Long> quarantineNanos(List<PromptPart> parts, long now) {
-        return quarantine.remainingNanos(parts, now);
+    /** Whether requests need fingerprints, because some are suspected to crash runners. */
+    public boolean hasCrashSuspects() {
+        return quarantine.hasSuspects();
     }
 
-    /** Returns the prompt parts in quarantine, for other hosts. */
-    public List<LoadEvent.PartQuarantined> quarantinedParts(long now) {
+    /**
+     * Returns the quarantine that keeps a request from runners, because it or a part of its prompt crashes them; empty
+     * if it may be sent.
+     *
+     * @param fingerprint the fingerprint of the request; may be empty while there are no suspects
+     */
+    Optional<LoadEvent.Quarantined> findQuarantine(List<PromptPart> parts, OptionalLong fingerprint, long now) {
+        return quarantine.find(parts, fingerprint, now);
+    }
+
+    /** Returns all quarantines in force, for other hosts. */
+    public List<LoadEvent.Quarantined> quarantined(long now) {
         return quarantine.quarantined(now);
     }
 
-    /** Returns and clears the identifiers of the parts whose quarantine began since the last call. */
-    public List<Long> takeNewlyQuarantined() {
+    /** Returns and clears what was put in quarantine since the last call. */
+    public List<CrashSuspect> takeNewlyQuarantined() {
         return quarantine.takeNewlyQuarantined();
     }
 
@@ -256,8 +267,8 @@
                     markResponseStarted(request, now);
                 }
             }
-            case LoadEvent.Ended ended -> ended(host, inFlight.remove(ended.number()), ended.outcome(), now);
-            case LoadEvent.PartQuarantined quarantined -> quarantine.adopt(quarantined, now);
+            case LoadEvent.Ended ended -> ended(host, inFlight.remove(ended.number()), ended, now);
+            case LoadEvent.Quarantined quarantined -> quarantine.adopt(quarantined, now);
             case LoadEvent.RateLimitStated stated ->
                 runnerState(stated.runner())
                         .ifPresent(runner ->
@@ -336,16 +347,16 @@
         return service(runner.entry().service()).coldRequestsPerSecond();
     }
 
-    private void ended(String host, InFlightRequest request, RunOutcome outcome, long now) {
+    private void ended(String host, InFlightRequest request, LoadEvent.Ended ended, long now) {
         end(request);
         if (request == null) {
             return;
         }
-        switch (outcome) {
-            case COMPLETE -> quarantine.recordComplete(request);
-            case LOST -> quarantine.recordLost(request, host, hosts.size(), now);
+        switch (ended.outcome()) {
+            case COMPLETE -> quarantine.recordComplete(request, ended.fingerprint(), host, now);
+            case LOST -> quarantine.recordLost(request, ended.fingerprint(), host, hosts.size(), now);
             default -> {
-                // Other outcomes say nothing about the prompt.
+                // Other outcomes say nothing about the request.
             }
         }
     }
@@ -369,9 +380,13 @@
         }
     }
 
-    /** Drops in-flight requests of other hosts whose end event never arrived, and cached parts of unlisted runners. */
-    public void dropExpiredRequests(long now) {
+    /**
+     * Drops in-flight requests of other hosts whose end event never arrived, cached parts of unlisted runners, and what
+     * was suspected long ago to crash runners.
+     */
+    public void dropExpired(long now) {
         cachedBeforeListing.clear();
+        quarantine.dropExpired(now);
         for (Map.Entry<String, Map<Long, InFlightRequest>> entry : inFlightByHost.entrySet()) {
             if (entry.getKey().equals(self)) {
                 continue;
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/LoadEvent.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/LoadEvent.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.mangowall.edge.model.PromptPart;
 
@@ -49,8 +50,9 @@
      *
      * @param number the sequence number of the request
      * @param outcome how the run ended
+     * @param fingerprint the fingerprint of the request if it was lost, or complete while there were suspects
      */
-    record Ended(long number, RunOutcome outcome) implements LoadEvent {}
+    record Ended(long number, RunOutcome outcome, OptionalLong fingerprint) implements LoadEvent {}
 
     /**
      * Requests of a workspace were turned away because the fleet is busy.
@@ -61,12 +63,12 @@
     record TurnedAway(String workspace, long costTokens) implements LoadEvent {}
 
     /**
-     * A prompt part crashes runners and is in quarantine.
+     * A request or a prompt part crashes runners and is in quarantine.
      *
-     * @param part the identifier of the part
+     * @param suspect what is in quarantine
      * @param remainingNanos how much longer it is in quarantine
      */
-    record PartQuarantined(long part, long remainingNanos) implements LoadEvent {}
+    record Quarantined(CrashSuspect suspect, long remainingNanos) implements LoadEvent {}
 
     /**
      * A runner stated in a response how many requests it accepts.
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/Placement.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/Placement.java
@@ -1,9 +1,11 @@
 package org.mangowall.edge.decision;
 
+import java.util.List;
 import java.util.Optional;
 
 import org.mangowall.edge.model.EngineTraits;
 import org.mangowall.edge.model.PromptDescription;
+import org.mangowall.edge.model.PromptPart;
 import org.mangowall.kernel.failure.FailureCode;
 
 /**
@@ -57,11 +59,12 @@
 
     /** Chooses a runner for a request or rejects it. */
     public PlacementDecision decide(PlacementRequest request, long now) {
-        Optional<Long> quarantine = request.prompt().flatMap(prompt -> fleet.quarantineNanos(prompt.parts(), now));
-        if (quarantine.isPresent()) {
-            double remainingMillis = quarantine.get() / NANOS_PER_MILLI;
+        List<PromptPart> parts = request.prompt().map(PromptDescription::parts).orElse(List.of());
+        Optional<LoadEvent.Quarantined> quarantined = fleet.findQuarantine(parts, request.fingerprint(), now);
+        if (quarantined.isPresent()) {
+            double remainingMillis = quarantined.get().remainingNanos() / NANOS_PER_MILLI;
             return new PlacementDecision.Reject(
-                    FailureCode.PROMPT_PART_QUARANTINED, remainingMillis, 0, Admission.NONE);
+                    quarantined.get().suspect().rejection(), remainingMillis, 0, Admission.NONE);
         }
         ServiceState service = fleet.service(request.service());
         CachedPrompt cached =
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/PlacementRequest.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/PlacementRequest.java
@@ -1,6 +1,7 @@
 package org.mangowall.edge.decision;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.mangowall.edge.model.PromptDescription;
@@ -13,6 +14,8 @@
  * @param service the service chosen from the route's services
  * @param workspace the workspace of the request; empty on routes that need no API key
  * @param prompt the prompt; empty for a plain request
+ * @param fingerprint the fingerprint that all repeats of the request share; empty while nothing is suspected to crash
+ *     runners
  * @param softwareVersion the version of the runner's software that a stream must go on at; empty for any version
  * @param zone the availability zone of this host
  * @param excluded identifiers of runners that must not be used
@@ -25,6 +28,7 @@
         String service,
         Optional<String> workspace,
         Optional<PromptDescription> prompt,
+        OptionalLong fingerprint,
         Optional<String> softwareVersion,
         String zone,
         Set<String> excluded,
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/HostMessage.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/HostMessage.java
@@ -30,7 +30,7 @@
 
     /**
      * What a host that has just started can't know: the prompt parts that runners have cached, where recent streams
-     * began, which prompt parts are in quarantine and which rate limits runners have stated.
+     * began, which requests and prompt parts are in quarantine and which rate limits runners have stated.
      *
      * @param events the state as events, such as one {@code PartsCached} for each runner
      */
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerCodec.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerCodec.java
@@ -6,7 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
+import org.mangowall.edge.decision.CrashSuspect;
 import org.mangowall.edge.decision.LoadEvent;
 import org.mangowall.edge.decision.RunOutcome;
 import org.mangowall.edge.decision.StreamOrigin;
@@ -36,8 +38,10 @@
     private static final int EVENT_PARTS_CACHED = 5;
     private static final int EVENT_STREAM_BEGAN = 6;
     private static final int EVENT_TURNED_AWAY = 7;
-    private static final int EVENT_PART_QUARANTINED = 8;
+    private static final int EVENT_QUARANTINED = 8;
     private static final int EVENT_RATE_LIMIT_STATED = 9;
+    private static final int SUSPECT_PART = 1;
+    private static final int SUSPECT_REQUEST = 2;
 
     private PeerCodec() {}
 
@@ -135,10 +139,15 @@
             }
             case LoadEvent.ResponseStarted started ->
                 packer.packInt(EVENT_RESPONSE_STARTED).packLong(started.number());
-            case LoadEvent.Ended ended ->
+            case LoadEvent.Ended ended -> {
                 packer.packInt(EVENT_ENDED)
                         .packLong(ended.number())
                         .packInt(ended.outcome().ordinal());
+                packer.packBoolean(ended.fingerprint().isPresent());
+                if (ended.fingerprint().isPresent()) {
+                    packer.packLong(ended.fingerprint().getAsLong());
+                }
+            }
             case LoadEvent.Unreachable unreachable ->
                 packer.packInt(EVENT_UNREACHABLE).packString(unreachable.runner());
             case LoadEvent.PartsCached partsCached -> {
@@ -149,9 +158,10 @@
                 packer.packInt(EVENT_STREAM_BEGAN);
                 packOrigin(packer, began.origin());
             }
-            case LoadEvent.PartQuarantined quarantined ->
-                packer.packInt(EVENT_PART_QUARANTINED)
-                        .packLong(quarantined.part())
+            case LoadEvent.Quarantined quarantined ->
+                packer.packInt(EVENT_QUARANTINED)
+                        .packInt(suspectKind(quarantined.suspect()))
+                        .packLong(quarantined.suspect().identifier())
                         .packLong(quarantined.remainingNanos());
             case LoadEvent.RateLimitStated stated -> {
                 packer.packInt(EVENT_RATE_LIMIT_STATED).packString(stated.runner());
@@ -166,6 +176,13 @@
         }
     }
 
+    private static int suspectKind(CrashSuspect suspect) {
+        return switch (suspect) {
+            case CrashSuspect.Part part -> SUSPECT_PART;
+            case CrashSuspect.Request request -> SUSPECT_REQUEST;
+        };
+    }
+
     private static void packOrigin(MessageBufferPacker packer, StreamOrigin origin) throws IOException {
         packer.packString(origin.request());
         packer.packString(origin.service());
@@ -288,11 +305,15 @@
         return switch (type) {
             case EVENT_SENT -> unpackSent(unpacker);
             case EVENT_RESPONSE_STARTED -> new LoadEvent.ResponseStarted(unpacker.unpackLong());
-            case EVENT_ENDED -> new LoadEvent.Ended(unpacker.unpackLong(), unpackOutcome(unpacker));
+            case EVENT_ENDED ->
+                new LoadEvent.Ended(
+                        unpacker.unpackLong(),
+                        unpackOutcome(unpacker),
+                        unpacker.unpackBoolean() ? OptionalLong.of(unpacker.unpackLong()) : OptionalLong.empty());
             case EVENT_UNREACHABLE -> new LoadEvent.Unreachable(unpacker.unpackString());
             case EVENT_PARTS_CACHED -> new LoadEvent.PartsCached(unpacker.unpackString(), unpackParts(unpacker));
             case EVENT_STREAM_BEGAN -> new LoadEvent.StreamBegan(unpackOrigin(unpacker));
-            case EVENT_PART_QUARANTINED -> new LoadEvent.PartQuarantined(unpacker.unpackLong(), unpacker.unpackLong());
+            case EVENT_QUARANTINED -> new LoadEvent.Quarantined(unpackSuspect(unpacker), unpacker.unpackLong());
             case EVENT_RATE_LIMIT_STATED -> unpackRateLimit(unpacker);
             case EVENT_TURNED_AWAY -> new LoadEvent.TurnedAway(unpacker.unpackString(), unpacker.unpackLong());
             default -> throw new MangowallException(FailureCode.FRAME_INVALID, "unknown load event type " + type);
@@ -307,6 +328,15 @@
                 runner, isLimited ? Optional.of(requestsPerSecond) : Optional.empty(), unpacker.unpackLong());
     }
 
+    private static CrashSuspect unpackSuspect(MessageUnpacker unpacker) throws IOException {
+        int kind = unpacker.unpackInt();
+        return switch (kind) {
+            case SUSPECT_PART -> new CrashSuspect.Part(unpacker.unpackLong());
+            case SUSPECT_REQUEST -> new CrashSuspect.Request(unpacker.unpackLong());
+            default -> throw new MangowallException(FailureCode.FRAME_INVALID, "unknown kind of suspect " + kind);
+        };
+    }
+
     private static RunOutcome unpackOutcome(MessageUnpacker unpacker) throws IOException {
         int ordinal = unpacker.unpackInt();
         RunOutcome[] outcomes = RunOutcome.values();
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/Reporter.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/Reporter.java
@@ -75,12 +75,12 @@
     }
 
     /**
-     * A report of the identity of this host, all its in-flight requests, all quarantined prompt parts and the rate
+     * A report of the identity of this host, all its in-flight requests, all quarantines and the rate
      * limits that runners stated to it lately.
      */
     HostReport fullReport(long now) {
         List<LoadEvent> events = new ArrayList<>(fleet.ownInFlightRequests());
-        events.addAll(fleet.quarantinedParts(now));
+        events.addAll(fleet.quarantined(now));
         events.addAll(fleet.recentRateLimits(now));
         return report(Optional.of(self), events, now);
     }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
@@ -18,6 +18,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
+import org.mangowall.edge.decision.CrashSuspect;
 import org.mangowall.edge.decision.FleetLoad;
 import org.mangowall.edge.log.DecisionLog;
 import org.mangowall.edge.log.EdgeMetrics;
@@ -177,13 +178,18 @@
     private void dropExpired() {
         long now = System.nanoTime();
         runnerRegistry.removeExpired(now);
-        fleet.dropExpiredRequests(now);
+        fleet.dropExpired(now);
     }
 
     private void logLoad(long loopDelayNanos) {
         fleet.takeNewlyQuarantined()
-                .forEach(part -> log.write(
-                        "prompt-part-quarantined", line -> line.writeStringField("part", Long.toHexString(part))));
+                .forEach(suspect -> log.write(suspect.rejection().code(), line -> {
+                    String field = switch (suspect) {
+                        case CrashSuspect.Part part -> "part";
+                        case CrashSuspect.Request request -> "fingerprint";
+                    };
+                    line.writeStringField(field, Long.toHexString(suspect.identifier()));
+                }));
         log.write("load", line -> {
             line.writeNumberField("loopDelayMillis", TimeUnit.NANOSECONDS.toMillis(loopDelayNanos));
             line.writeNumberField("activeRequests", callers.activeRequests());
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
@@ -144,6 +144,7 @@
                 service,
                 workspace,
                 request.prompt(),
+                context.fleet().hasCrashSuspects() ? OptionalLong.of(fingerprint()) : OptionalLong.empty(),
                 stream.origin().map(StreamOrigin::softwareVersion),
                 context.zone(),
                 excludedRunners,
@@ -162,13 +163,18 @@
             giveUp(FailureCode.RUNNER_CONNECTION_LOST);
             return;
         }
-        boolean isBusy = rejection.code() != FailureCode.PROMPT_PART_QUARANTINED;
-        if (isBusy && workspace.isPresent() && request.prompt().isPresent()) {
+        if (!isQuarantined(rejection.code())
+                && workspace.isPresent()
+                && request.prompt().isPresent()) {
             context.publish(new LoadEvent.TurnedAway(workspace.get(), costTokens()));
         }
         reject(rejection.code(), rejection.retryAfterMillis());
     }
 
+    private static boolean isQuarantined(FailureCode code) {
+        return code == FailureCode.PROMPT_PART_QUARANTINED || code == FailureCode.REQUEST_QUARANTINED;
+    }
+
     private void send(PlacementDecision.Send decision) {
         long attemptNumber = context.nextAttemptNumber();
         attempt = new RunnerAttempt(context, this, decision, attemptNumber);
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerAttempt.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerAttempt.java
@@ -1,6 +1,7 @@
 package org.mangowall.edge.traffic;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
@@ -141,7 +142,17 @@
         }
         buffered.release();
         buffered = Unpooled.EMPTY_BUFFER;
-        context.publish(new LoadEvent.Ended(attemptNumber, outcome));
+        context.publish(new LoadEvent.Ended(attemptNumber, outcome, fingerprintFor(outcome)));
+    }
+
+    /** Fingerprints are computed only for runs that may cast suspicion on a request or clear it. */
+    private OptionalLong fingerprintFor(RunOutcome outcome) {
+        boolean isNeeded = switch (outcome) {
+            case LOST -> true;
+            case COMPLETE -> context.fleet().hasCrashSuspects();
+            case OTHER -> false;
+        };
+        return isNeeded ? OptionalLong.of(exchange.fingerprint()) : OptionalLong.empty();
     }
 
     @Override
--- a/mangowall-edge/src/test/java/org/mangowall/edge/decision/CrashQuarantineTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/decision/CrashQuarantineTest.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -14,10 +15,11 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-class PartQuarantineTest {
+class CrashQuarantineTest {
 
     private static final long FIRST = 1;
     private static final long CRASHING = 2;
+    private static final long REPEATED = 1_000_000;
     private static final long SECOND = 1_000_000_000L;
     private static final long MINUTE = 60 * SECOND;
 
@@ -50,7 +52,11 @@
     }
 
     private void end(String host, long number, RunOutcome outcome) {
-        fleet.apply(host, new LoadEvent.Ended(number, outcome), now);
+        end(host, number, outcome, OptionalLong.empty());
+    }
+
+    private void end(String host, long number, RunOutcome outcome, OptionalLong fingerprint) {
+        fleet.apply(host, new LoadEvent.Ended(number, outcome, fingerprint), now);
     }
 
     private void run(String host, int runner, RunOutcome outcome, long... identifiers) {
@@ -69,7 +75,8 @@
     }
 
     private boolean isQuarantined(long... identifiers) {
-        return fleet.quarantineNanos(parts(identifiers), now).isPresent();
+        return fleet.findQuarantine(parts(identifiers), OptionalLong.empty(), now)
+                .isPresent();
     }
 
     @Test
@@ -78,7 +85,7 @@
         assertTrue(isQuarantined(FIRST, CRASHING, 20));
         assertFalse(isQuarantined(FIRST, 3, 21));
         assertFalse(isQuarantined(FIRST, 22));
-        assertEquals(List.of(CRASHING), fleet.takeNewlyQuarantined());
+        assertEquals(List.of(new CrashSuspect.Part(CRASHING)), fleet.takeNewlyQuarantined());
         assertEquals(List.of(), fleet.takeNewlyQuarantined());
     }
 
@@ -179,16 +186,97 @@
         assertTrue(isQuarantined(FIRST, CRASHING, 20));
     }
 
+    private void runRequest(String host, int runner, RunOutcome outcome, long fingerprint, long... identifiers) {
+        now += SECOND;
+        long number = send(host, runner, parts(identifiers));
+        now += SECOND;
+        end(host, number, outcome, OptionalLong.of(fingerprint));
+    }
+
+    private boolean isRequestQuarantined(long fingerprint, long... identifiers) {
+        return fleet.findQuarantine(parts(identifiers), OptionalLong.of(fingerprint), now)
+                .isPresent();
+    }
+
+    @Test
+    void aRequestThatCrashedThreeRunnersIsRejectedAtOnce() {
+        runRequest("self", 0, RunOutcome.LOST, REPEATED, FIRST, 3);
+        runRequest("other", 1, RunOutcome.LOST, REPEATED, FIRST, 3);
+        assertFalse(isRequestQuarantined(REPEATED, FIRST, 3));
+        runRequest("third", 2, RunOutcome.LOST, REPEATED, FIRST, 3);
+        assertTrue(isRequestQuarantined(REPEATED, FIRST, 3));
+        assertEquals(
+                FailureCode.REQUEST_QUARANTINED,
+                fleet.findQuarantine(List.of(), OptionalLong.of(REPEATED), now)
+                        .orElseThrow()
+                        .suspect()
+                        .rejection());
+        assertEquals(List.of(new CrashSuspect.Request(REPEATED)), fleet.takeNewlyQuarantined());
+    }
+
+    /** Other requests may have the same parts. */
+    @Test
+    void aRequestThatComesAgainDoesNotConvictItsParts() {
+        for (int runner = 0; runner < 6; runner++) {
+            runRequest(runner % 2 == 0 ? "self" : "other", runner, RunOutcome.LOST, REPEATED, FIRST, 3, 4);
+        }
+        assertFalse(isRequestQuarantined(REPEATED + 1, FIRST, 3, 4));
+    }
+
+    @Test
+    void completeRunsOfOtherRequestsDoNotClearARequest() {
+        for (int runner = 0; runner < 3; runner++) {
+            runRequest(runner % 2 == 0 ? "self" : "other", runner, RunOutcome.LOST, REPEATED, FIRST, 3);
+            runRequest("self", 7, RunOutcome.COMPLETE, REPEATED + 1, FIRST, 3);
+        }
+        assertTrue(isRequestQuarantined(REPEATED, FIRST, 3));
+        assertFalse(isRequestQuarantined(REPEATED + 1, FIRST, 3));
+    }
+
+    @Test
+    void aCompleteRunClearsTheRequest() {
+        runRequest("self", 0, RunOutcome.LOST, REPEATED);
+        runRequest("other", 1, RunOutcome.LOST, REPEATED);
+        runRequest("self", 2, RunOutcome.COMPLETE, REPEATED);
+        runRequest("other", 3, RunOutcome.LOST, REPEATED);
+        assertFalse(isRequestQuarantined(REPEATED));
+    }
+
+    /** Callers may keep to one host. */
+    @Test
+    void lossesAtOneHostConvictIfOtherRunsOfThatHostAreComplete() {
+        for (int runner = 0; runner < 3; runner++) {
+            assertFalse(isRequestQuarantined(REPEATED));
+            runRequest("other", 7, RunOutcome.COMPLETE, 100 + runner);
+            runRequest("other", runner, RunOutcome.LOST, REPEATED);
+        }
+        assertTrue(isRequestQuarantined(REPEATED));
+    }
+
+    @Test
+    void fingerprintsAreNeededOnlyWhileSomethingIsSuspected() {
+        assertFalse(fleet.hasCrashSuspects());
+        runRequest("self", 0, RunOutcome.LOST, REPEATED);
+        assertTrue(fleet.hasCrashSuspects());
+        runRequest("self", 1, RunOutcome.COMPLETE, REPEATED);
+        assertFalse(fleet.hasCrashSuspects());
+        runRequest("self", 2, RunOutcome.LOST, REPEATED);
+        now += 11 * MINUTE;
+        fleet.dropExpired(now);
+        assertFalse(fleet.hasCrashSuspects());
+    }
+
     /** A host that was started or missed reports learns of the quarantine from the full reports of the others. */
     @Test
     void theQuarantineOfAnotherHostIsAdopted() {
         crashThreeRunners();
-        List<LoadEvent> report = List.copyOf(fleet.quarantinedParts(now));
+        List<LoadEvent> report = List.copyOf(fleet.quarantined(now));
         FleetLoad started = new FleetLoad("started", Fixtures.WINDOW_NANOS);
         started.applySnapshot("self", report, 0);
-        assertTrue(started.quarantineNanos(parts(FIRST, CRASHING, 20), 0).isPresent());
+        assertTrue(started.findQuarantine(parts(FIRST, CRASHING, 20), OptionalLong.empty(), 0)
+                .isPresent());
         started.applySnapshot("self", report, MINUTE);
-        assertTrue(
-                started.quarantineNanos(parts(FIRST, CRASHING, 20), 6 * MINUTE).isEmpty());
+        assertTrue(started.findQuarantine(parts(FIRST, CRASHING, 20), OptionalLong.empty(), 6 * MINUTE)
+                .isEmpty());
     }
 }
--- a/mangowall-edge/src/test/java/org/mangowall/edge/decision/EngineSimulation.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/decision/EngineSimulation.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
 
 import org.apache.commons.rng.UniformRandomProvider;
@@ -218,6 +219,9 @@
             }
         }));
         long end = first + (long) (prompt.outputTokens() * MILLIS_PER_OUTPUT_TOKEN * Fixtures.MILLI);
-        events.add(new Event(end, () -> publish(host, new LoadEvent.Ended(requestNumber, RunOutcome.COMPLETE), end)));
+        events.add(new Event(
+                end,
+                () -> publish(
+                        host, new LoadEvent.Ended(requestNumber, RunOutcome.COMPLETE, OptionalLong.empty()), end)));
     }
 }
--- a/mangowall-edge/src/test/java/org/mangowall/edge/decision/Fixtures.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/decision/Fixtures.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.mangowall.edge.model.CallerLimits;
@@ -84,6 +85,7 @@
                 ENGINES,
                 Optional.of(workspace),
                 Optional.of(prompt),
+                OptionalLong.empty(),
                 Optional.empty(),
                 "a",
                 Set.of(),
@@ -94,7 +96,17 @@
 
     static PlacementRequest call(double draw, Set<String> excluded) {
         return new PlacementRequest(
-                CALLS, PLAIN, Optional.of("w"), Optional.empty(), Optional.empty(), "a", excluded, 0, 600, draw);
+                CALLS,
+                PLAIN,
+                Optional.of("w"),
+                Optional.empty(),
+                OptionalLong.empty(),
+                Optional.empty(),
+                "a",
+                excluded,
+                0,
+                600,
+                draw);
     }
 
     static PromptDescription prompt(int tokens, int output, long... sharedParts) {
--- a/mangowall-edge/src/test/java/org/mangowall/edge/decision/FleetLoadTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/decision/FleetLoadTest.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.junit.jupiter.api.Test;
 import org.mangowall.edge.model.PromptPart;
@@ -37,8 +38,8 @@
         RunnerState runner = fleet.runnerState("r").orElseThrow();
         assertEquals(2, runner.running());
         assertEquals(1_200, runner.pendingPrefillTokens(), "only the prompt of request 3 is still to be processed");
-        fleet.apply("other", new LoadEvent.Ended(2, RunOutcome.COMPLETE), 0);
-        fleet.apply("other", new LoadEvent.Ended(3, RunOutcome.COMPLETE), 0);
+        fleet.apply("other", new LoadEvent.Ended(2, RunOutcome.COMPLETE, OptionalLong.empty()), 0);
+        fleet.apply("other", new LoadEvent.Ended(3, RunOutcome.COMPLETE, OptionalLong.empty()), 0);
         assertEquals(0, runner.running());
         assertEquals(0, runner.pendingPrefillTokens());
         assertEquals(0, runner.memoryTokens());
@@ -64,12 +65,12 @@
         fleet.installTable(Fixtures.table(1_400, 0));
         for (long number = 0; number < 4; number++) {
             fleet.apply("other", sent("w", number), 0);
-            fleet.apply("other", new LoadEvent.Ended(number, RunOutcome.OTHER), 0);
+            fleet.apply("other", new LoadEvent.Ended(number, RunOutcome.OTHER, OptionalLong.empty()), 0);
         }
         for (String workspace : List.of("w", "v")) {
             fleet.apply("other", sent(workspace, 9), 0);
             fleet.apply("other", new LoadEvent.ResponseStarted(9), 0);
-            fleet.apply("other", new LoadEvent.Ended(9, RunOutcome.COMPLETE), 0);
+            fleet.apply("other", new LoadEvent.Ended(9, RunOutcome.COMPLETE, OptionalLong.empty()), 0);
         }
         assertEquals(usageAt("v", 0), usageAt("w", 0));
     }
@@ -84,7 +85,7 @@
         long later = Fixtures.WINDOW_NANOS * 2;
         assertEquals(waiting, usageAt("w", later));
         fleet.apply("other", new LoadEvent.ResponseStarted(1), later);
-        fleet.apply("other", new LoadEvent.Ended(1, RunOutcome.COMPLETE), later);
+        fleet.apply("other", new LoadEvent.Ended(1, RunOutcome.COMPLETE, OptionalLong.empty()), later);
         assertEquals(waiting, usageAt("w", later + Fixtures.WINDOW_NANOS / 8));
         assertEquals(0, usageAt("w", later + 2 * Fixtures.WINDOW_NANOS));
     }
--- a/mangowall-edge/src/test/java/org/mangowall/edge/decision/PlacementLoadTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/decision/PlacementLoadTest.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.junit.jupiter.api.Test;
@@ -170,7 +171,7 @@
             assertInstanceOf(PlacementDecision.Send.class, placement.decide(Fixtures.stream("w", huge, 0.5), now));
             fleet.apply("host", sent(request, "r", 100_000), now);
             fleet.apply("host", new LoadEvent.ResponseStarted(request), now);
-            fleet.apply("host", new LoadEvent.Ended(request, RunOutcome.COMPLETE), now);
+            fleet.apply("host", new LoadEvent.Ended(request, RunOutcome.COMPLETE, OptionalLong.empty()), now);
         }
     }
 
--- a/mangowall-edge/src/test/java/org/mangowall/edge/decision/StatedRateLimiterTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/decision/StatedRateLimiterTest.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
 
 import org.apache.commons.rng.UniformRandomProvider;
@@ -111,7 +112,7 @@
                 if (host.recordRateLimit(runner, stated, now, respondedAt)) {
                     publish(host, new LoadEvent.RateLimitStated(runner, stated, 0), respondedAt);
                 }
-                publish(host, new LoadEvent.Ended(number, RunOutcome.COMPLETE), respondedAt);
+                publish(host, new LoadEvent.Ended(number, RunOutcome.COMPLETE, OptionalLong.empty()), respondedAt);
             });
         }
 
--- a/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerCodecTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerCodecTest.java
@@ -4,8 +4,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.junit.jupiter.api.Test;
+import org.mangowall.edge.decision.CrashSuspect;
 import org.mangowall.edge.decision.LoadEvent;
 import org.mangowall.edge.decision.RunOutcome;
 import org.mangowall.edge.decision.StreamOrigin;
@@ -67,9 +69,10 @@
                         new LoadEvent.Sent(1, "r", Optional.of("w"), PARTS, 2, 3, 4, Optional.of(ORIGIN)),
                         new LoadEvent.Sent(2, "r", Optional.empty(), List.of(), 0, 0, 0, Optional.empty()),
                         new LoadEvent.ResponseStarted(1),
-                        new LoadEvent.Ended(1, RunOutcome.COMPLETE),
-                        new LoadEvent.Ended(2, RunOutcome.LOST),
-                        new LoadEvent.PartQuarantined(-1, 5_000_000_000L),
+                        new LoadEvent.Ended(1, RunOutcome.COMPLETE, OptionalLong.empty()),
+                        new LoadEvent.Ended(2, RunOutcome.LOST, OptionalLong.of(-5)),
+                        new LoadEvent.Quarantined(new CrashSuspect.Part(-1), 5_000_000_000L),
+                        new LoadEvent.Quarantined(new CrashSuspect.Request(Long.MIN_VALUE), 6_000_000_000L),
                         new LoadEvent.RateLimitStated("r", Optional.of(7.25), 8),
                         new LoadEvent.RateLimitStated("r", Optional.empty(), 0),
                         new LoadEvent.Unreachable("r"),
--- a/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerMeshTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerMeshTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -82,7 +83,7 @@
         hosts.get(40).publish(sent(1));
         fleet.advance(400);
         hosts.forEach(host -> assertEquals(1, host.load().runningAt(RUNNER)));
-        hosts.get(40).publish(new LoadEvent.Ended(1, RunOutcome.COMPLETE));
+        hosts.get(40).publish(new LoadEvent.Ended(1, RunOutcome.COMPLETE, OptionalLong.empty()));
         fleet.advance(400);
         hosts.forEach(host -> assertEquals(0, host.load().runningAt(RUNNER)));
     }
@@ -98,7 +99,7 @@
         for (int step = 0; step < seconds * 10; step++) {
             for (SimulatedMesh.Host host : hosts) {
                 host.publish(sent(step));
-                host.publish(new LoadEvent.Ended(step, RunOutcome.COMPLETE));
+                host.publish(new LoadEvent.Ended(step, RunOutcome.COMPLETE, OptionalLong.empty()));
             }
             fleet.advance(100);
         }
@@ -164,7 +165,7 @@
             host.publish(sent(1));
             fleet.advance(500);
             hosts.forEach(other -> assertEquals(1, other.load().runningAt(RUNNER)));
-            host.publish(new LoadEvent.Ended(1, RunOutcome.COMPLETE));
+            host.publish(new LoadEvent.Ended(1, RunOutcome.COMPLETE, OptionalLong.empty()));
             fleet.advance(500);
         }
     }
--- a/mangowall-edge/src/test/java/org/mangowall/edge/peer/ReporterTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/peer/ReporterTest.java
@@ -1,6 +1,7 @@
 package org.mangowall.edge.peer;
 
 import java.util.List;
+import java.util.OptionalLong;
 
 import org.junit.jupiter.api.Test;
 import org.mangowall.edge.decision.FleetLoad;
@@ -32,11 +33,14 @@
     @Test
     void requestsTurnedAwayAreSummedUpForEachReport() {
         reporter.add(new LoadEvent.TurnedAway("w", 300));
-        reporter.add(new LoadEvent.Ended(1, RunOutcome.COMPLETE));
+        reporter.add(new LoadEvent.Ended(1, RunOutcome.COMPLETE, OptionalLong.empty()));
         reporter.add(new LoadEvent.TurnedAway("w", 400));
         assertTrue(reporter.hasPendingEvents());
         assertEquals(
-                List.of(new LoadEvent.Ended(1, RunOutcome.COMPLETE), new LoadEvent.TurnedAway("w", 700)), nextEvents());
+                List.of(
+                        new LoadEvent.Ended(1, RunOutcome.COMPLETE, OptionalLong.empty()),
+                        new LoadEvent.TurnedAway("w", 700)),
+                nextEvents());
         assertFalse(reporter.hasPendingEvents());
         assertEquals(List.of(), nextEvents());
         reporter.add(new LoadEvent.TurnedAway("w", 5));
--- a/mangowall-kernel/src/main/java/org/mangowall/kernel/failure/FailureCode.java
+++ b/mangowall-kernel/src/main/java/org/mangowall/kernel/failure/FailureCode.java
@@ -51,6 +51,8 @@
     STREAM_VERSION_UNAVAILABLE("stream-version-unavailable", 503, NOT_RUN),
     /** A part of the prompt has crashed several runners, so that requests with it are not sent to further ones. */
     PROMPT_PART_QUARANTINED("prompt-part-quarantined", 503, NOT_RUN),
+    /** The request has crashed several runners, so that its repeats are not sent to further ones. */
+    REQUEST_QUARANTINED("request-quarantined", 503, NOT_RUN),
     /** The request reached its queue timeout and was not sent. */
     QUEUE_TIMEOUT("queue-timeout", 503, NOT_RUN),
     /** All attempts failed, and it is certain that none of them ran. */
