--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
@@ -453,9 +453,13 @@
         });
     }
 
-    /** Records that a runner rejected a request without running it. */
-    public void recordRejection(String identifier, long now) {
-        runnerState(identifier).ifPresent(runner -> runner.health().recordRejection(now));
+    /**
+     * Records that a runner rejected a request without running it.
+     *
+     * @param requestedPauseNanos how long the runner asks this host to wait; 0 if it doesn't
+     */
+    public void recordRejection(String identifier, long requestedPauseNanos, long now) {
+        runnerState(identifier).ifPresent(runner -> runner.health().recordRejection(requestedPauseNanos, now));
     }
 
     /** Records that a runner couldn't be reached. */
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/Placement.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/Placement.java
@@ -82,7 +82,7 @@
                     : bestWhenUrgent;
         }
         if (best == null) {
-            return rejectWithoutRunner(service, request);
+            return rejectWithoutRunner(service, request, now);
         }
         Admission admission = admissionControl.admissionOf(request, best.prefillTokens(), now);
         double allowed = admission.allowedMillis();
@@ -106,9 +106,15 @@
         return runner.running() < slots / 2 && runner.pendingPrefillTokens() == 0;
     }
 
-    private PlacementDecision rejectWithoutRunner(ServiceState service, PlacementRequest request) {
+    private PlacementDecision rejectWithoutRunner(ServiceState service, PlacementRequest request, long now) {
+        double pauseMillis = service.runners().stream()
+                        .filter(runner -> fleet.acceptsRequests(runner.entry()))
+                        .mapToLong(runner -> runner.health().pauseNanos(now))
+                        .min()
+                        .orElse(0)
+                / NANOS_PER_MILLI;
         return new PlacementDecision.Reject(
-                codeWithoutRunner(service, request), NO_RUNNER_RETRY_MILLIS, 0, Admission.NONE);
+                codeWithoutRunner(service, request), Math.max(NO_RUNNER_RETRY_MILLIS, pauseMillis), 0, Admission.NONE);
     }
 
     private FailureCode codeWithoutRunner(ServiceState service, PlacementRequest request) {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/RunnerHealth.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/RunnerHealth.java
@@ -7,6 +7,8 @@
     private static final long INITIAL_PAUSE_NANOS = 200_000_000L;
     private static final long MAX_PAUSE_NANOS = 2_000_000_000L;
     private static final long REJECTION_PAUSE_NANOS = 100_000_000L;
+    /** Bounds the pause that a runner may ask for. */
+    private static final long MAX_REQUESTED_PAUSE_NANOS = 3_600_000_000_000L;
 
     private final DecayingFailureRatio failures = new DecayingFailureRatio(FAILURE_HALF_LIFE_NANOS);
     private int consecutiveUnreachable;
@@ -18,11 +20,16 @@
         failures.record(isFailure, now);
     }
 
-    /** Records that the runner rejected a request because it is overloaded; pauses it briefly. */
-    void recordRejection(long now) {
+    /**
+     * Records that the runner rejected a request because it is overloaded; pauses it briefly.
+     *
+     * @param requestedPauseNanos how long the runner asks this host to wait; 0 if it doesn't
+     */
+    void recordRejection(long requestedPauseNanos, long now) {
         consecutiveUnreachable = 0;
         failures.record(true, now);
-        pausedUntil = Math.max(pausedUntil, now + REJECTION_PAUSE_NANOS);
+        long pause = Math.clamp(requestedPauseNanos, REJECTION_PAUSE_NANOS, MAX_REQUESTED_PAUSE_NANOS);
+        pausedUntil = Math.max(pausedUntil, now + pause);
     }
 
     /** Records that the runner couldn't be reached; the pause doubles with each consecutive time. */
@@ -30,7 +37,7 @@
         long pause = Math.min(MAX_PAUSE_NANOS, INITIAL_PAUSE_NANOS << Math.min(consecutiveUnreachable, 6));
         consecutiveUnreachable += 1;
         failures.record(true, now);
-        pausedUntil = now + pause;
+        pausedUntil = Math.max(pausedUntil, now + pause);
     }
 
     boolean wasUnreachable() {
@@ -41,6 +48,11 @@
         return pausedUntil != Long.MIN_VALUE && now < pausedUntil;
     }
 
+    /** How much longer the runner is paused, in nanoseconds; 0 if it isn't. */
+    long pauseNanos(long now) {
+        return isPaused(now) ? pausedUntil - now : 0;
+    }
+
     double failureRatio(long now) {
         return failures.failureRatio(now);
     }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/model/RunnerResponse.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/model/RunnerResponse.java
@@ -13,6 +13,7 @@
  * @param isMisdirected whether a different runner uses the address now
  * @param coldLeft remaining time for which the runner is cold
  * @param rateLimit requests per second that the runner accepts from all hosts together; empty if it states no limit
+ * @param retryAfter how long the runner asks this host to wait after a rejection; empty if it doesn't
  * @param idleTimeout how long the runner keeps an idle connection open
  * @param isConnectionClosing whether the runner closes the connection after this response
  */
@@ -24,6 +25,7 @@
         boolean isMisdirected,
         Optional<Duration> coldLeft,
         Optional<Double> rateLimit,
+        Optional<Duration> retryAfter,
         Optional<Duration> idleTimeout,
         boolean isConnectionClosing) {
 
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
@@ -289,7 +289,8 @@
         if (response.isMisdirected()) {
             context.markUnreachable(tried.runner().identifier());
         } else {
-            context.fleet().recordRejection(tried.runner().identifier(), context.now());
+            long requestedPause = response.retryAfter().map(Duration::toNanos).orElse(0L);
+            context.fleet().recordRejection(tried.runner().identifier(), requestedPause, context.now());
         }
         context.metrics().countRunnerFailure(service, "not-run");
         log.attemptFailed(this, "not-run", tried, "status " + response.status());
--- a/mangowall-edge/src/test/java/org/mangowall/edge/decision/FleetLoadTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/decision/FleetLoadTest.java
@@ -3,11 +3,13 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 
 import org.junit.jupiter.api.Test;
 import org.mangowall.edge.model.PromptPart;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Checks the load estimate when events of other hosts are lost or arrive early. */
@@ -103,4 +105,21 @@
         assertTrue(fleet.cachedParts().stream()
                 .anyMatch(partsCached -> partsCached.parts().equals(PARTS)));
     }
+
+    /** A runner may ask for more time than the pause after a rejection or a failed connection. */
+    @Test
+    void aRunnerThatAsksToWaitIsPausedForThatTime() {
+        FleetLoad fleet = new FleetLoad("self", Fixtures.WINDOW_NANOS);
+        fleet.installTable(Fixtures.table(0, 0));
+        fleet.installRunner(Fixtures.runner("r", Fixtures.PLAIN, "a", 0), 0);
+        Placement placement = new Placement(fleet, Fixtures.WINDOW_NANOS);
+        fleet.recordRejection("r", 60_000 * Fixtures.MILLI, 0);
+        fleet.recordUnreachable("r", 0);
+        PlacementDecision.Reject reject = assertInstanceOf(
+                PlacementDecision.Reject.class,
+                placement.decide(Fixtures.call(0.5, Set.of()), 59_000 * Fixtures.MILLI));
+        assertEquals(1_000, reject.retryAfterMillis(), 1);
+        assertInstanceOf(
+                PlacementDecision.Send.class, placement.decide(Fixtures.call(0.5, Set.of()), 61_000 * Fixtures.MILLI));
+    }
 }
--- a/mangowall-edge/src/test/java/org/mangowall/edge/traffic/RunnerConnectionTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/traffic/RunnerConnectionTest.java
@@ -115,6 +115,7 @@
                     Optional.empty(),
                     Optional.empty(),
                     Optional.empty(),
+                    Optional.empty(),
                     false);
         }
 
