--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
@@ -189,12 +189,13 @@
         return Optional.ofNullable(runners.get(identifier));
     }
 
-    /** Whether a runner accepts requests: it is listed, not draining, and its availability zone isn't closed. */
+    /** Whether a runner accepts requests: it is listed, neither draining nor leaving, and its availability zone isn't closed. */
     public boolean acceptsRequests(RunnerEntry entry) {
         RunnerState state = runners.get(entry.identifier());
         return state != null
                 && state.entry().isSameIncarnation(entry)
                 && !state.entry().isDraining()
+                && !state.isLeaving()
                 && !closedZones.contains(entry.zone());
     }
 
@@ -269,6 +270,8 @@
             }
             case LoadEvent.Ended ended -> ended(host, inFlight.remove(ended.number()), ended, now);
             case LoadEvent.Quarantined quarantined -> quarantine.adopt(quarantined, now);
+            case LoadEvent.RunnerLeaving leaving ->
+                runnerState(leaving.runner()).ifPresent(RunnerState::markLeaving);
             case LoadEvent.RateLimitStated stated ->
                 runnerState(stated.runner())
                         .ifPresent(runner ->
@@ -462,6 +465,11 @@
         runnerState(identifier).ifPresent(runner -> runner.health().recordRejection(requestedPauseNanos, now));
     }
 
+    /** Whether a runner has said, in a response to any host, that it leaves. */
+    public boolean isLeaving(String identifier) {
+        return runnerState(identifier).map(RunnerState::isLeaving).orElse(false);
+    }
+
     /** Records that a runner couldn't be reached. */
     public void recordUnreachable(String identifier, long now) {
         runnerState(identifier).ifPresent(runner -> runner.health().recordUnreachable(now));
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/LoadEvent.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/LoadEvent.java
@@ -79,6 +79,13 @@
      */
     record RateLimitStated(String runner, Optional<Double> requestsPerSecond, long ageNanos) implements LoadEvent {}
 
+    /**
+     * A runner said in a response that it leaves.
+     *
+     * @param runner the identifier of the runner
+     */
+    record RunnerLeaving(String runner) implements LoadEvent {}
+
     /**
      * A runner couldn't be reached.
      *
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/RunnerState.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/RunnerState.java
@@ -17,6 +17,7 @@
     private final ColdStartLimiter coldStartLimiter = new ColdStartLimiter();
     private final StatedRateLimiter rateLimiter = new StatedRateLimiter();
     private RunnerEntry entry;
+    private boolean isLeaving;
     private final PrefixCache cache;
     private int running;
     private long pendingPrefillTokens;
@@ -46,6 +47,15 @@
         entry = other;
     }
 
+    /** Whether this incarnation of the runner has said that it leaves. */
+    boolean isLeaving() {
+        return isLeaving;
+    }
+
+    void markLeaving() {
+        isLeaving = true;
+    }
+
     RunnerHealth health() {
         return health;
     }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerCodec.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerCodec.java
@@ -40,6 +40,7 @@
     private static final int EVENT_TURNED_AWAY = 7;
     private static final int EVENT_QUARANTINED = 8;
     private static final int EVENT_RATE_LIMIT_STATED = 9;
+    private static final int EVENT_RUNNER_LEAVING = 10;
     private static final int SUSPECT_PART = 1;
     private static final int SUSPECT_REQUEST = 2;
 
@@ -163,6 +164,8 @@
                         .packInt(suspectKind(quarantined.suspect()))
                         .packLong(quarantined.suspect().identifier())
                         .packLong(quarantined.remainingNanos());
+            case LoadEvent.RunnerLeaving leaving ->
+                packer.packInt(EVENT_RUNNER_LEAVING).packString(leaving.runner());
             case LoadEvent.RateLimitStated stated -> {
                 packer.packInt(EVENT_RATE_LIMIT_STATED).packString(stated.runner());
                 packer.packBoolean(stated.requestsPerSecond().isPresent());
@@ -314,6 +317,7 @@
             case EVENT_PARTS_CACHED -> new LoadEvent.PartsCached(unpacker.unpackString(), unpackParts(unpacker));
             case EVENT_STREAM_BEGAN -> new LoadEvent.StreamBegan(unpackOrigin(unpacker));
             case EVENT_QUARANTINED -> new LoadEvent.Quarantined(unpackSuspect(unpacker), unpacker.unpackLong());
+            case EVENT_RUNNER_LEAVING -> new LoadEvent.RunnerLeaving(unpacker.unpackString());
             case EVENT_RATE_LIMIT_STATED -> unpackRateLimit(unpacker);
             case EVENT_TURNED_AWAY -> new LoadEvent.TurnedAway(unpacker.unpackString(), unpacker.unpackLong());
             default -> throw new MangowallException(FailureCode.FRAME_INVALID, "unknown load event type " + type);
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
@@ -319,6 +319,11 @@
         log.rateLimitChanged(this, source, stated);
     }
 
+    /** The runner said for the first time that it leaves. */
+    void runnerLeaves(RunnerAttempt source) {
+        log.runnerLeaves(this, source);
+    }
+
     /** The runner has sent nothing for longer than its stall timeout. */
     void attemptStalled(RunnerAttempt tried) {
         log.attemptFailed(this, "silent", tried, "no data received for " + Math.round(tried.elapsedMillis()) + " ms");
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/ExchangeLog.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/ExchangeLog.java
@@ -111,6 +111,13 @@
         });
     }
 
+    void runnerLeaves(Exchange exchange, RunnerAttempt source) {
+        context.log().write("runner-leaves", line -> {
+            writeRequest(line, exchange);
+            line.writeStringField("runner", source.runner().identifier());
+        });
+    }
+
     private static void writePromptParts(JsonGenerator line, List<PromptPart> parts) throws IOException {
         if (parts.isEmpty()) {
             return;
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerAttempt.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerAttempt.java
@@ -163,7 +163,10 @@
         response.coldLeft()
                 .ifPresent(
                         left -> context.fleet().recordColdTime(runner().identifier(), left.toNanos(), context.now()));
-        recordRateLimit(response);
+        if (!response.isMisdirected()) {
+            recordRateLimit(response);
+            recordLeaving(response);
+        }
         if (response.isNotExecuted()) {
             isDiscardingResponse = true;
             finish(RunOutcome.OTHER);
@@ -190,9 +193,6 @@
     }
 
     private void recordRateLimit(RunnerResponse response) {
-        if (response.isMisdirected()) {
-            return;
-        }
         String identifier = runner().identifier();
         if (context.fleet().recordRateLimit(identifier, response.rateLimit(), sentAt, context.now())) {
             exchange.rateLimitChanged(this, response.rateLimit());
@@ -200,6 +200,14 @@
         }
     }
 
+    private void recordLeaving(RunnerResponse response) {
+        String identifier = runner().identifier();
+        if (response.isLeaving() && !context.fleet().isLeaving(identifier)) {
+            exchange.runnerLeaves(this);
+            context.publish(new LoadEvent.RunnerLeaving(identifier));
+        }
+    }
+
     /** Whether the body consists of events; a runner of streams need not state the media type. */
     private static boolean isEventStream(HttpResponse newHead) {
         String mediaType = newHead.headers().get(HttpHeaderNames.CONTENT_TYPE, EVENT_STREAM);
--- a/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerCodecTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerCodecTest.java
@@ -75,6 +75,7 @@
                         new LoadEvent.Quarantined(new CrashSuspect.Request(Long.MIN_VALUE), 6_000_000_000L),
                         new LoadEvent.RateLimitStated("r", Optional.of(7.25), 8),
                         new LoadEvent.RateLimitStated("r", Optional.empty(), 0),
+                        new LoadEvent.RunnerLeaving("r"),
                         new LoadEvent.Unreachable("r"),
                         new LoadEvent.PartsCached("r", PARTS),
                         new LoadEvent.StreamBegan(ORIGIN),
--- a/mangowall-edge/src/test/java/org/mangowall/edge/traffic/RunnerConnectionTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/traffic/RunnerConnectionTest.java
@@ -116,6 +116,7 @@
                     Optional.empty(),
                     Optional.empty(),
                     Optional.empty(),
+                    false,
                     false);
         }
 
