--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/CrashQuarantine.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/CrashQuarantine.java
@@ -19,12 +19,12 @@
  * Finds requests and prompt parts that crash runners, from the runs of all hosts, and quarantines them.
  *
  * <p>A crash ends all requests of a runner, so most of the suspects that it is seen with are sound. A suspect is
- * quarantined after several lost runs in a row, each sent after the one before was lost, and to another incarnation of a
- * runner. A complete run clears it. Lost runs of a part count only if they are of different requests: those of a single
- * one convict the request, while other requests with the part may be sound. The last part of a prompt belongs to one
- * request or session and isn't judged.
+ * quarantined after several lost runs in a row, each sent after the one before was lost, and to another incarnation of
+ * a runner. A complete run clears it. Lost runs of a part count only if they are of different requests: those of a
+ * single one convict the request, while other requests with the part may be sound. The last part of a prompt belongs to
+ * one request or session and isn't judged.
  */
-final class CrashQuarantine {
+public final class CrashQuarantine {
 
     /** A sound request or part nearly always has a complete run among this many independent ones. */
     private static final int MIN_LOST_RUNS = 3;
@@ -127,7 +127,7 @@
     }
 
     /** Whether any request or part is suspected or in quarantine, so that fingerprints of requests are needed. */
-    boolean hasSuspects() {
+    public boolean hasSuspects() {
         return !lostRuns.isEmpty() || !ends.isEmpty();
     }
 
@@ -150,7 +150,12 @@
         }
     }
 
-    /** Returns the quarantine that keeps a request from runners the longest; empty if it may be sent. */
+    /**
+     * Returns the quarantine that keeps a request from runners the longest; empty if it may be sent.
+     *
+     * @param parts the parts of its prompt
+     * @param fingerprint the fingerprint of the request; may be empty while there are no suspects
+     */
     Optional<LoadEvent.Quarantined> find(List<PromptPart> parts, OptionalLong fingerprint, long now) {
         if (ends.isEmpty()) {
             return Optional.empty();
@@ -160,7 +165,7 @@
     }
 
     /** Returns all quarantines in force, for other hosts. */
-    List<LoadEvent.Quarantined> quarantined(long now) {
+    public List<LoadEvent.Quarantined> quarantined(long now) {
         return quarantined(ends.keySet(), now);
     }
 
@@ -172,7 +177,7 @@
     }
 
     /** Returns and clears what was put in quarantine since the last call. */
-    List<CrashSuspect> takeNewlyQuarantined() {
+    public List<CrashSuspect> takeNewlyQuarantined() {
         List<CrashSuspect> suspects = List.copyOf(newlyQuarantined);
         newlyQuarantined.clear();
         return suspects;
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
@@ -7,9 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
-import java.util.function.Predicate;
 
 import org.mangowall.edge.model.EngineTraits;
 import org.mangowall.edge.model.PromptPart;
@@ -29,11 +27,9 @@
     /** Requests of other hosts that are older than this are dropped: their end event was lost. */
     private static final long IN_FLIGHT_EXPIRY_NANOS = 20_000_000_000L;
 
-    /** Longer than the interval of full reports, so that a host reports each limit that it was told since the last one. */
-    private static final long RATE_LIMIT_REPORT_AGE_NANOS = 3_000_000_000L;
-
     private final String self;
     private final Map<String, RunnerState> runners = new HashMap<>();
+    private final StatedRateLimits rateLimits = new StatedRateLimits(runners);
     private final Map<String, ServiceState> services = new HashMap<>();
     private final Map<String, Map<Long, InFlightRequest>> inFlightByHost = new HashMap<>();
     /** Parts that other hosts reported as cached at runners that the store hasn't listed yet. */
@@ -150,29 +146,14 @@
                 .toList();
     }
 
-    /** Whether requests need fingerprints, because some are suspected to crash runners. */
-    public boolean hasCrashSuspects() {
-        return quarantine.hasSuspects();
-    }
-
-    /**
-     * Returns the quarantine that keeps a request from runners, because it or a part of its prompt crashes them; empty
-     * if it may be sent.
-     *
-     * @param fingerprint the fingerprint of the request; may be empty while there are no suspects
-     */
-    Optional<LoadEvent.Quarantined> findQuarantine(List<PromptPart> parts, OptionalLong fingerprint, long now) {
-        return quarantine.find(parts, fingerprint, now);
+    /** Returns what is suspected to crash runners, or in quarantine because it does. */
+    public CrashQuarantine quarantine() {
+        return quarantine;
     }
 
-    /** Returns all quarantines in force, for other hosts. */
-    public List<LoadEvent.Quarantined> quarantined(long now) {
-        return quarantine.quarantined(now);
-    }
-
-    /** Returns and clears what was put in quarantine since the last call. */
-    public List<CrashSuspect> takeNewlyQuarantined() {
-        return quarantine.takeNewlyQuarantined();
+    /** Returns the rate limits that runners have stated. */
+    public StatedRateLimits rateLimits() {
+        return rateLimits;
     }
 
     /** Whether other runners may fetch key-value cache from a runner, including one that takes no more requests. */
@@ -189,7 +170,7 @@
         return Optional.ofNullable(runners.get(identifier));
     }
 
-    /** Whether a runner accepts requests: it is listed, neither draining nor leaving, and its availability zone isn't closed. */
+    /** Whether a runner accepts requests: it is listed, not leaving, and its availability zone isn't closed. */
     public boolean acceptsRequests(RunnerEntry entry) {
         RunnerState state = runners.get(entry.identifier());
         return state != null
@@ -272,10 +253,7 @@
             case LoadEvent.Quarantined quarantined -> quarantine.adopt(quarantined, now);
             case LoadEvent.RunnerLeaving leaving ->
                 runnerState(leaving.runner()).ifPresent(RunnerState::markLeaving);
-            case LoadEvent.RateLimitStated stated ->
-                runnerState(stated.runner())
-                        .ifPresent(runner ->
-                                runner.rateLimiter().adopt(stated.requestsPerSecond(), now - stated.ageNanos(), now));
+            case LoadEvent.RateLimitStated stated -> rateLimits.adopt(stated, now);
             case LoadEvent.TurnedAway turnedAway ->
                 shares.recordTurnedAway(turnedAway.workspace(), turnedAway.costTokens(), now);
             case LoadEvent.PartsCached partsCached -> recordCachedParts(partsCached);
@@ -480,40 +458,6 @@
         runnerState(identifier).ifPresent(runner -> runner.coldStartLimiter().markColdUntil(now + leftNanos));
     }
 
-    /**
-     * Records the rate limit that a runner states in a response to this host.
-     *
-     * @param stated requests per second from all hosts together; empty if the response states no limit
-     * @param sentAt when the request was sent
-     * @return whether the limit of the runner changed
-     */
-    public boolean recordRateLimit(String identifier, Optional<Double> stated, long sentAt, long now) {
-        return runnerState(identifier)
-                .map(runner -> runner.rateLimiter().recordResponse(stated, sentAt, now))
-                .orElse(false);
-    }
-
-    /** Returns what runners stated to this host lately, also that a limit ended, for its full report to other hosts. */
-    public List<LoadEvent.RateLimitStated> recentRateLimits(long now) {
-        return rateLimits(limiter -> limiter.wasReceivedWithin(RATE_LIMIT_REPORT_AGE_NANOS, now), now);
-    }
-
-    /** Returns all rate limits in force, for a host that has just started. */
-    public List<LoadEvent.RateLimitStated> rateLimits(long now) {
-        return rateLimits(limiter -> limiter.limit().isPresent(), now);
-    }
-
-    private List<LoadEvent.RateLimitStated> rateLimits(Predicate<StatedRateLimiter> isIncluded, long now) {
-        List<LoadEvent.RateLimitStated> stated = new ArrayList<>();
-        runners.forEach((identifier, runner) -> {
-            StatedRateLimiter limiter = runner.rateLimiter();
-            if (isIncluded.test(limiter)) {
-                stated.add(new LoadEvent.RateLimitStated(identifier, limiter.limit(), now - limiter.statedAt()));
-            }
-        });
-        return stated;
-    }
-
     /** Records the time to first token of a stream, which updates the service's model and the runner's slowness. */
     public void recordFirstToken(String identifier, double waitedTokens, double millis) {
         runnerState(identifier).ifPresent(runner -> {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/Placement.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/Placement.java
@@ -60,7 +60,7 @@
     /** Chooses a runner for a request or rejects it. */
     public PlacementDecision decide(PlacementRequest request, long now) {
         List<PromptPart> parts = request.prompt().map(PromptDescription::parts).orElse(List.of());
-        Optional<LoadEvent.Quarantined> quarantined = fleet.findQuarantine(parts, request.fingerprint(), now);
+        Optional<LoadEvent.Quarantined> quarantined = fleet.quarantine().find(parts, request.fingerprint(), now);
         if (quarantined.isPresent()) {
             double remainingMillis = quarantined.get().remainingNanos() / NANOS_PER_MILLI;
             return new PlacementDecision.Reject(
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/Reporter.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/Reporter.java
@@ -80,8 +80,8 @@
      */
     HostReport fullReport(long now) {
         List<LoadEvent> events = new ArrayList<>(fleet.ownInFlightRequests());
-        events.addAll(fleet.quarantined(now));
-        events.addAll(fleet.recentRateLimits(now));
+        events.addAll(fleet.quarantine().quarantined(now));
+        events.addAll(fleet.rateLimits().recent(now));
         return report(Optional.of(self), events, now);
     }
 
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
@@ -182,7 +182,8 @@
     }
 
     private void logLoad(long loopDelayNanos) {
-        fleet.takeNewlyQuarantined()
+        fleet.quarantine()
+                .takeNewlyQuarantined()
                 .forEach(suspect -> log.write(suspect.rejection().code(), line -> {
                     String field = switch (suspect) {
                         case CrashSuspect.Part part -> "part";
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
@@ -144,7 +144,7 @@
                 service,
                 workspace,
                 request.prompt(),
-                context.fleet().hasCrashSuspects() ? OptionalLong.of(fingerprint()) : OptionalLong.empty(),
+                context.fleet().quarantine().hasSuspects() ? OptionalLong.of(fingerprint()) : OptionalLong.empty(),
                 stream.origin().map(StreamOrigin::softwareVersion),
                 context.zone(),
                 excludedRunners,
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerAttempt.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerAttempt.java
@@ -149,7 +149,7 @@
     private OptionalLong fingerprintFor(RunOutcome outcome) {
         boolean isNeeded = switch (outcome) {
             case LOST -> true;
-            case COMPLETE -> context.fleet().hasCrashSuspects();
+            case COMPLETE -> context.fleet().quarantine().hasSuspects();
             case OTHER -> false;
         };
         return isNeeded ? OptionalLong.of(exchange.fingerprint()) : OptionalLong.empty();
@@ -194,7 +194,7 @@
 
     private void recordRateLimit(RunnerResponse response) {
         String identifier = runner().identifier();
-        if (context.fleet().recordRateLimit(identifier, response.rateLimit(), sentAt, context.now())) {
+        if (context.fleet().rateLimits().recordResponse(identifier, response.rateLimit(), sentAt, context.now())) {
             exchange.rateLimitChanged(this, response.rateLimit());
             context.publish(new LoadEvent.RateLimitStated(identifier, response.rateLimit(), 0));
         }
--- a/mangowall-edge/src/test/java/org/mangowall/edge/decision/CrashQuarantineTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/decision/CrashQuarantineTest.java
@@ -75,7 +75,8 @@
     }
 
     private boolean isQuarantined(long... identifiers) {
-        return fleet.findQuarantine(parts(identifiers), OptionalLong.empty(), now)
+        return fleet.quarantine()
+                .find(parts(identifiers), OptionalLong.empty(), now)
                 .isPresent();
     }
 
@@ -85,8 +86,9 @@
         assertTrue(isQuarantined(FIRST, CRASHING, 20));
         assertFalse(isQuarantined(FIRST, 3, 21));
         assertFalse(isQuarantined(FIRST, 22));
-        assertEquals(List.of(new CrashSuspect.Part(CRASHING)), fleet.takeNewlyQuarantined());
-        assertEquals(List.of(), fleet.takeNewlyQuarantined());
+        assertEquals(
+                List.of(new CrashSuspect.Part(CRASHING)), fleet.quarantine().takeNewlyQuarantined());
+        assertEquals(List.of(), fleet.quarantine().takeNewlyQuarantined());
     }
 
     @Test
@@ -194,7 +196,8 @@
     }
 
     private boolean isRequestQuarantined(long fingerprint, long... identifiers) {
-        return fleet.findQuarantine(parts(identifiers), OptionalLong.of(fingerprint), now)
+        return fleet.quarantine()
+                .find(parts(identifiers), OptionalLong.of(fingerprint), now)
                 .isPresent();
     }
 
@@ -207,11 +210,13 @@
         assertTrue(isRequestQuarantined(REPEATED, FIRST, 3));
         assertEquals(
                 FailureCode.REQUEST_QUARANTINED,
-                fleet.findQuarantine(List.of(), OptionalLong.of(REPEATED), now)
+                fleet.quarantine()
+                        .find(List.of(), OptionalLong.of(REPEATED), now)
                         .orElseThrow()
                         .suspect()
                         .rejection());
-        assertEquals(List.of(new CrashSuspect.Request(REPEATED)), fleet.takeNewlyQuarantined());
+        assertEquals(
+                List.of(new CrashSuspect.Request(REPEATED)), fleet.quarantine().takeNewlyQuarantined());
     }
 
     /** Other requests may have the same parts. */
@@ -255,28 +260,30 @@
 
     @Test
     void fingerprintsAreNeededOnlyWhileSomethingIsSuspected() {
-        assertFalse(fleet.hasCrashSuspects());
+        assertFalse(fleet.quarantine().hasSuspects());
         runRequest("self", 0, RunOutcome.LOST, REPEATED);
-        assertTrue(fleet.hasCrashSuspects());
+        assertTrue(fleet.quarantine().hasSuspects());
         runRequest("self", 1, RunOutcome.COMPLETE, REPEATED);
-        assertFalse(fleet.hasCrashSuspects());
+        assertFalse(fleet.quarantine().hasSuspects());
         runRequest("self", 2, RunOutcome.LOST, REPEATED);
         now += 11 * MINUTE;
         fleet.dropExpired(now);
-        assertFalse(fleet.hasCrashSuspects());
+        assertFalse(fleet.quarantine().hasSuspects());
     }
 
     /** A host that was started or missed reports learns of the quarantine from the full reports of the others. */
     @Test
     void theQuarantineOfAnotherHostIsAdopted() {
         crashThreeRunners();
-        List<LoadEvent> report = List.copyOf(fleet.quarantined(now));
+        List<LoadEvent> report = List.copyOf(fleet.quarantine().quarantined(now));
         FleetLoad started = new FleetLoad("started", Fixtures.WINDOW_NANOS);
         started.applySnapshot("self", report, 0);
-        assertTrue(started.findQuarantine(parts(FIRST, CRASHING, 20), OptionalLong.empty(), 0)
+        assertTrue(started.quarantine()
+                .find(parts(FIRST, CRASHING, 20), OptionalLong.empty(), 0)
                 .isPresent());
         started.applySnapshot("self", report, MINUTE);
-        assertTrue(started.findQuarantine(parts(FIRST, CRASHING, 20), OptionalLong.empty(), 6 * MINUTE)
+        assertTrue(started.quarantine()
+                .find(parts(FIRST, CRASHING, 20), OptionalLong.empty(), 6 * MINUTE)
                 .isEmpty());
     }
 }
--- a/mangowall-edge/src/test/java/org/mangowall/edge/decision/StatedRateLimiterTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/decision/StatedRateLimiterTest.java
@@ -82,7 +82,10 @@
         void restart(int index, long now) {
             FleetLoad old = hosts.get(index);
             FleetLoad started = start(old.self(), List.copyOf(old.hosts()));
-            hosts.get(index == 0 ? 1 : 0).rateLimits(now).forEach(event -> started.apply(old.self(), event, now));
+            hosts.get(index == 0 ? 1 : 0)
+                    .rateLimits()
+                    .inForce(now)
+                    .forEach(event -> started.apply(old.self(), event, now));
             hosts.set(index, started);
         }
 
@@ -109,7 +112,7 @@
             long respondedAt = now + RESPONSE_TIME;
             Optional<Double> stated = runner.equals(LIMITED) ? limit : Optional.empty();
             at(respondedAt, () -> {
-                if (host.recordRateLimit(runner, stated, now, respondedAt)) {
+                if (host.rateLimits().recordResponse(runner, stated, now, respondedAt)) {
                     publish(host, new LoadEvent.RateLimitStated(runner, stated, 0), respondedAt);
                 }
                 publish(host, new LoadEvent.Ended(number, RunOutcome.COMPLETE, OptionalLong.empty()), respondedAt);
@@ -132,7 +135,7 @@
                 at(
                         now,
                         () -> hosts.forEach(
-                                host -> host.recentRateLimits(now).forEach(event -> publish(host, event, now))));
+                                host -> host.rateLimits().recent(now).forEach(event -> publish(host, event, now))));
             }
             while (!events.isEmpty()) {
                 events.poll().action().run();
