--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
@@ -115,6 +115,7 @@
     public void removeRunner(String identifier, long now) {
         RunnerState removed = runners.remove(identifier);
         if (removed != null) {
+            quarantine.recordRunnerGone(identifier);
             service(removed.entry().service()).removeRunner(removed, now);
         }
     }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/LoadEvent.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/LoadEvent.java
@@ -63,10 +63,10 @@
     record TurnedAway(String workspace, long costTokens) implements LoadEvent {}
 
     /**
-     * A request or a prompt part crashes runners and is in quarantine.
+     * A request or a prompt part crashes runners and is in quarantine, or isn't any more.
      *
      * @param suspect what is in quarantine
-     * @param remainingNanos how much longer it is in quarantine
+     * @param remainingNanos how much longer it is in quarantine; 0 if a complete run has ended the quarantine
      */
     record Quarantined(CrashSuspect suspect, long remainingNanos) implements LoadEvent {}
 
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
@@ -327,7 +327,7 @@
     private List<LoadEvent> handoverEvents(long now) {
         List<LoadEvent> events = new ArrayList<>(fleet.cachedParts());
         events.addAll(fleet.recentStreams(now));
-        events.addAll(fleet.quarantine().quarantined(now));
+        events.addAll(fleet.quarantine().all(now));
         events.addAll(fleet.rateLimits().inForce(now));
         return events;
     }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import org.mangowall.edge.decision.CrashSuspect;
 import org.mangowall.edge.decision.FleetLoad;
+import org.mangowall.edge.decision.LoadEvent;
 import org.mangowall.edge.log.DecisionLog;
 import org.mangowall.edge.log.EdgeMetrics;
 import org.mangowall.edge.mirror.RunnerRegistry;
@@ -181,16 +182,26 @@
         fleet.dropExpired(now);
     }
 
-    private void logLoad(long loopDelayNanos) {
+    private void reportQuarantines() {
         fleet.quarantine()
                 .takeNewlyQuarantined()
-                .forEach(suspect -> log.write(suspect.rejection().code(), line -> {
-                    String field = switch (suspect) {
-                        case CrashSuspect.Part part -> "part";
-                        case CrashSuspect.Request request -> "fingerprint";
-                    };
-                    line.writeStringField(field, Long.toHexString(suspect.identifier()));
-                }));
+                .forEach(suspect -> logSuspect(suspect.rejection().code(), suspect));
+        fleet.quarantine().takeNewlyCleared().forEach(suspect -> {
+            logSuspect("quarantine-cleared", suspect);
+            mesh.publish(new LoadEvent.Quarantined(suspect, 0));
+        });
+    }
+
+    private void logSuspect(String event, CrashSuspect suspect) {
+        String field = switch (suspect) {
+            case CrashSuspect.Part part -> "part";
+            case CrashSuspect.Request request -> "fingerprint";
+        };
+        log.write(event, line -> line.writeStringField(field, Long.toHexString(suspect.identifier())));
+    }
+
+    private void logLoad(long loopDelayNanos) {
+        reportQuarantines();
         log.write("load", line -> {
             line.writeNumberField("loopDelayMillis", TimeUnit.NANOSECONDS.toMillis(loopDelayNanos));
             line.writeNumberField("activeRequests", callers.activeRequests());
