--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/CrashQuarantine.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/CrashQuarantine.java
@@ -37,7 +37,7 @@
     private static final long DURATION_NANOS = 300_000_000_000L;
     /** Upper bound of the age of another host's report, by which its requests may have been sent earlier. */
     private static final long MAX_REPORT_DELAY_NANOS = 300_000_000L;
-    /** Lost runs that are further apart than this are judged anew. */
+    /** Lost runs and quarantines that ended longer ago are forgotten. */
     private static final long SUSPICION_NANOS = 600_000_000_000L;
     /** All hosts end a quarantine within this time after one of them has, so that none adopts it again. */
     private static final long CLEARING_NANOS = 5_000_000_000L;
@@ -54,7 +54,7 @@
     };
     /** The suspects that have lost runs on each runner that is still listed. */
     private final Map<String, Set<CrashSuspect>> suspectsByRunner = new HashMap<>();
-    /** The quarantine of each suspect; it stays here until a complete run clears it. */
+    /** The quarantine of each suspect; for some time after its end, one more lost run renews it. */
     private final Map<CrashSuspect, Quarantine> quarantines = new HashMap<>();
     /** When quarantines were cleared lately. */
     private final Map<CrashSuspect, Long> clearedAt = new HashMap<>();
@@ -165,20 +165,18 @@
     private void dropLostRuns(RunnerEntry runner, long sentAt, long now) {
         Set<CrashSuspect> suspects = suspectsByRunner.getOrDefault(runner.identifier(), Set.of());
         for (CrashSuspect suspect : List.copyOf(suspects)) {
-            List<LostRun> lost = lostRuns.getOrDefault(suspect, List.of());
-            if (lost.removeIf(run -> run.runner().isSameIncarnation(runner) && run.at() < sentAt)
-                    && !isConvicted(lost)) {
+            List<LostRun> lost = lostRuns.get(suspect);
+            if (lost == null) {
+                suspects.remove(suspect);
+                continue;
+            }
+            boolean isDropped = lost.removeIf(run -> run.runner().isSameIncarnation(runner) && run.at() < sentAt);
+            if (isDropped && !isConvicted(lost)) {
                 clear(suspect, now);
             }
             if (lost.isEmpty()) {
                 lostRuns.remove(suspect);
             }
-            if (lost.stream().noneMatch(run -> run.runner().isSameIncarnation(runner))) {
-                suspects.remove(suspect);
-            }
-        }
-        if (suspects.isEmpty()) {
-            suspectsByRunner.remove(runner.identifier());
         }
     }
 
@@ -256,9 +254,10 @@
         return suspects;
     }
 
-    /** Forgets lost runs that are long past, and quarantines that were cleared on all hosts. */
+    /** Forgets lost runs and quarantines that are long past, and what all hosts have cleared. */
     void dropExpired(long now) {
         lostRuns.values().removeIf(lost -> now - lost.getLast().at() > SUSPICION_NANOS);
+        quarantines.values().removeIf(quarantine -> now - quarantine.end() > SUSPICION_NANOS);
         clearedAt.values().removeIf(at -> now - at > CLEARING_NANOS);
         suspectsByRunner.values().forEach(suspects -> suspects.retainAll(lostRuns.keySet()));
         suspectsByRunner.values().removeIf(Set::isEmpty);
--- a/mangowall-edge/src/test/java/org/mangowall/edge/decision/CrashQuarantineTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/decision/CrashQuarantineTest.java
@@ -271,6 +271,17 @@
                 List.of(new CrashSuspect.Request(REPEATED)), fleet.quarantine().takeNewlyCleared());
     }
 
+    /** The same run may clear a request and show that its runner lives. */
+    @Test
+    void aRunnerThatCompletesALostRequestClearsBoth() {
+        runRequest("self", 0, RunOutcome.LOST, REPEATED, FIRST, 3);
+        runRequest("self", 0, RunOutcome.COMPLETE, REPEATED, FIRST, 3);
+        assertFalse(fleet.quarantine().hasSuspects());
+        runRequest("self", 0, RunOutcome.LOST, REPEATED + 1, FIRST, 3);
+        runRequest("other", 0, RunOutcome.COMPLETE, REPEATED + 2);
+        assertFalse(fleet.quarantine().hasSuspects());
+    }
+
     @Test
     void aRunThatWasSentBeforeTheCrashDoesNotDisproveIt() {
         long running = send("self", 1, parts());
@@ -317,6 +328,10 @@
         now += 11 * MINUTE;
         fleet.dropExpired(now);
         assertFalse(fleet.quarantine().hasSuspects());
+        crashThreeRunners();
+        now += 16 * MINUTE;
+        fleet.dropExpired(now);
+        assertFalse(fleet.quarantine().hasSuspects());
     }
 
     /** A host that was started or missed reports learns of the quarantine from the full reports of the others. */
