Reset the connection of a cancelled request to a runner

Cause: a host whose link is full still has the request's bytes in the operating system's buffers when the caller leaves. The cancellation closed the connection in order, so that all these bytes were delivered first and the runner ran the request for nobody. Ruled out: a late reaction of the host; its log has the end of the request at the caller's deadline.

Change: a cancellation resets the connection; what wasn't sent is dropped.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerConnection.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -30,6 +31,8 @@
     /** Idle timeout until a response tells how long the runner keeps idle connections. */
     private static final long DEFAULT_IDLE_TIMEOUT_NANOS = 400_000_000L;
 
+    private static final int RESET_ON_CLOSE = 0;
+
     private final HttpMessageCodec messages;
     private final RunnerPool pool;
     private Channel channel;
@@ -93,9 +96,15 @@
         pool.release(this);
     }
 
-    /** Cancels the request: the runner stops when the connection closes. */
+    /**
+     * Cancels the request by a reset: the runner stops, and what still waits to be sent never reaches it. An orderly
+     * close would deliver the whole request later, and the runner would run it for nobody.
+     */
     void cancel() {
         listener = null;
+        if (channel.isActive()) {
+            channel.config().setOption(ChannelOption.SO_LINGER, RESET_ON_CLOSE);
+        }
         channel.close();
     }
 
