Give each caller hosts of its own, keep no reports for nobody, and count bytes

Three changes to how a large fleet's hosts share work; Edge.java assembles all of them.

Directory answers. Trials with log lines show that all answers of the directory named all 16 hosts, and that all callers of that workspace chose the same one or two; a trial that ends every third connection didn't move them. EntryHostSelection gives each caller of a larger fleet a sample of its own by weighted rendezvous hashing: by size, zone, and room (open requests against the fleet's mean).

TrafficMeter counts bytes by the kind of the other end; the load line logs them each second.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerDialer.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerDialer.java
@@ -9,6 +9,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import org.mangowall.edge.log.TrafficMeter;
 import org.mangowall.inventory.checked.HostAndPort;
 import org.mangowall.inventory.checked.UnitSyntax;
 
@@ -19,9 +20,11 @@
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
     private final EventLoop loop;
+    private final TrafficMeter traffic;
 
-    PeerDialer(EventLoop loop) {
+    PeerDialer(EventLoop loop, TrafficMeter traffic) {
         this.loop = loop;
+        this.traffic = traffic;
     }
 
     @Override
@@ -40,6 +43,7 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
+                        channel.pipeline().addLast(traffic.counter(TrafficMeter.Endpoint.PEER));
                         outbound.install(channel);
                     }
                 })
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
@@ -17,6 +17,7 @@
 import org.mangowall.edge.decision.FleetLoad;
 import org.mangowall.edge.decision.LoadEvent;
 import org.mangowall.edge.log.DecisionLog;
+import org.mangowall.edge.log.TrafficMeter;
 import org.mangowall.edge.mirror.StoreAvailability;
 import org.mangowall.edge.mirror.StoreMirror;
 import org.mangowall.edge.model.HostRecord;
@@ -90,9 +91,19 @@
             StoreAvailability storeAvailability,
             DecisionLog log,
             EventLoop loop,
+            TrafficMeter traffic,
             LongSupplier nanoClock,
             BooleanSupplier isReady) {
-        this(self, seedAddresses, fleet, mirror, storeAvailability, log, new PeerDialer(loop), nanoClock, isReady);
+        this(
+                self,
+                seedAddresses,
+                fleet,
+                mirror,
+                storeAvailability,
+                log,
+                new PeerDialer(loop, traffic),
+                nanoClock,
+                isReady);
     }
 
     PeerMesh(
@@ -368,9 +379,10 @@
             return;
         }
         sender.recordInbound(now);
+        boolean isForwarding = isForwarding();
         for (HostReport report : reports.reports()) {
             boolean isDirect = report.host().equals(sender.host().name());
-            if (!membership.apply(report, isDirect, now)) {
+            if (!membership.apply(report, isDirect, now) || !isForwarding) {
                 continue;
             }
             if (sender.role().isRelay()) {
@@ -381,6 +393,12 @@
         }
     }
 
+    /** Whether a peer takes reports of other hosts from this one; otherwise they need not be kept and encoded. */
+    private boolean isForwarding() {
+        return plan.isRelay()
+                || membership.peers().stream().anyMatch(peer -> peer.role().wantsAllReports());
+    }
+
     private void acknowledged(PeerChannel from, long now) {
         peersAndSeeds().filter(peer -> peer.outbound() == from).forEach(peer -> peer.recordAcknowledgement(now));
     }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
@@ -1,5 +1,6 @@
 package org.mangowall.edge.program;
 
+import java.io.IOException;
 import java.time.Clock;
 import java.util.ArrayList;
 import java.util.List;
@@ -7,6 +8,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
+import com.fasterxml.jackson.core.JsonGenerator;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandler;
@@ -19,10 +21,12 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import org.mangowall.edge.decision.CrashSuspect;
+import org.mangowall.edge.decision.EntryHostSelection;
 import org.mangowall.edge.decision.FleetLoad;
 import org.mangowall.edge.decision.LoadEvent;
 import org.mangowall.edge.log.DecisionLog;
 import org.mangowall.edge.log.EdgeMetrics;
+import org.mangowall.edge.log.TrafficMeter;
 import org.mangowall.edge.mirror.RunnerRegistry;
 import org.mangowall.edge.mirror.StoreAvailability;
 import org.mangowall.edge.mirror.StoreMirror;
@@ -62,6 +66,7 @@
     private final PlatformAdapter adapter;
     private final DecisionLog log;
     private final EdgeMetrics metrics = new EdgeMetrics();
+    private final TrafficMeter traffic = new TrafficMeter();
     private final EventLoopGroup group = new NioEventLoopGroup(1);
     private final EventLoop loop = group.next();
     private final CountDownLatch stopped = new CountDownLatch(1);
@@ -106,6 +111,7 @@
         bind(settings.peerAddress(), new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
+                channel.pipeline().addLast(traffic.counter(TrafficMeter.Endpoint.PEER));
                 mesh.accept(channel);
             }
         });
@@ -123,13 +129,15 @@
     private void startOnLoop() {
         List<String> seeds =
                 settings.peerSeeds().stream().map(HostAndPort::toString).toList();
-        mesh = new PeerMesh(self, seeds, fleet, mirror, storeAvailability, log, loop, System::nanoTime, this::isReady);
+        mesh = new PeerMesh(
+                self, seeds, fleet, mirror, storeAvailability, log, loop, traffic, System::nanoTime, this::isReady);
         context = new EdgeContext(
                 adapter.messages(),
                 fleet,
                 settings.bounds(),
                 log,
                 metrics,
+                traffic,
                 loop,
                 System::nanoTime,
                 random::nextDouble,
@@ -206,9 +214,18 @@
             line.writeNumberField("loopDelayMillis", TimeUnit.NANOSECONDS.toMillis(loopDelayNanos));
             line.writeNumberField("activeRequests", callers.activeRequests());
             line.writeNumberField("hosts", fleet.hostCount());
+            writeTraffic(line, "caller", traffic.take(TrafficMeter.Endpoint.CALLER));
+            writeTraffic(line, "runner", traffic.take(TrafficMeter.Endpoint.RUNNER));
+            writeTraffic(line, "peer", traffic.take(TrafficMeter.Endpoint.PEER));
         });
     }
 
+    private static void writeTraffic(JsonGenerator line, String endpoint, TrafficMeter.Traffic counted)
+            throws IOException {
+        line.writeNumberField(endpoint + "BytesReceived", counted.received());
+        line.writeNumberField(endpoint + "BytesSent", counted.sent());
+    }
+
     private void logStoreAvailability(String change) {
         log.write("store", line -> line.writeStringField("change", change));
     }
@@ -254,12 +271,15 @@
                 && !context.lifecycle().isLeaving();
     }
 
-    private List<String> entryHosts(String callerZone) {
+    private List<String> entryHosts(String callerZone, String caller) {
         List<HostRecord> ready = new ArrayList<>(mesh.readyPeers());
         if (isReady()) {
             ready.add(self);
         }
-        return EntryHostSelector.select(ready, callerZone, random);
+        List<EntryHostSelection.Candidate> candidates = ready.stream()
+                .map(host -> new EntryHostSelection.Candidate(host, fleet.openRequestsOf(host.name())))
+                .toList();
+        return EntryHostSelection.select(candidates, callerZone, caller);
     }
 
     private void objectChanged(StoredObject object) {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/JvmWarmUp.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/JvmWarmUp.java
@@ -26,6 +26,7 @@
 import org.mangowall.edge.decision.FleetLoad;
 import org.mangowall.edge.log.DecisionLog;
 import org.mangowall.edge.log.EdgeMetrics;
+import org.mangowall.edge.log.TrafficMeter;
 import org.mangowall.edge.model.CallerLimits;
 import org.mangowall.edge.model.EngineTraits;
 import org.mangowall.edge.model.RequestKind;
@@ -139,6 +140,7 @@
                 BOUNDS,
                 log,
                 new EdgeMetrics(),
+                new TrafficMeter(),
                 group.next(),
                 System::nanoTime,
                 () -> 0,
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/CallerConnections.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/CallerConnections.java
@@ -11,6 +11,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import org.mangowall.edge.log.TrafficMeter;
 import org.mangowall.edge.model.CallerLimits;
 
 /** Accepts the callers' connections of this host and enforces their timeouts. */
@@ -41,6 +42,7 @@
         CallerConnection connection = new CallerConnection(context, runners, this);
         channel.pipeline()
                 .addLast(
+                        context.traffic().counter(TrafficMeter.Endpoint.CALLER),
                         new BytesReceivedHandler(connection),
                         new StrictRequestDecoder(headerBytes),
                         new HttpResponseEncoder(),
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/EdgeContext.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/EdgeContext.java
@@ -13,6 +13,7 @@
 import org.mangowall.edge.decision.SharedRetryBudget;
 import org.mangowall.edge.log.DecisionLog;
 import org.mangowall.edge.log.EdgeMetrics;
+import org.mangowall.edge.log.TrafficMeter;
 import org.mangowall.edge.model.RouteTable;
 import org.mangowall.edge.wire.HttpMessageCodec;
 
@@ -25,6 +26,7 @@
     private final EdgeBounds bounds;
     private final DecisionLog log;
     private final EdgeMetrics metrics;
+    private final TrafficMeter traffic;
     private final EventLoop loop;
     private final LongSupplier nanoClock;
     private final DoubleSupplier random;
@@ -42,6 +44,7 @@
             EdgeBounds bounds,
             DecisionLog log,
             EdgeMetrics metrics,
+            TrafficMeter traffic,
             EventLoop loop,
             LongSupplier nanoClock,
             DoubleSupplier random,
@@ -53,6 +56,7 @@
         this.bounds = bounds;
         this.log = log;
         this.metrics = metrics;
+        this.traffic = traffic;
         this.loop = loop;
         this.nanoClock = nanoClock;
         this.random = random;
@@ -84,6 +88,10 @@
         return metrics;
     }
 
+    TrafficMeter traffic() {
+        return traffic;
+    }
+
     EventLoop loop() {
         return loop;
     }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerConnections.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerConnections.java
@@ -13,6 +13,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import org.mangowall.edge.log.TrafficMeter;
 import org.mangowall.edge.model.RunnerEntry;
 import org.mangowall.edge.model.ServiceDescription;
 
@@ -82,6 +83,7 @@
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         TcpKeepAlive.apply(channel);
+                        channel.pipeline().addLast(context.traffic().counter(TrafficMeter.Endpoint.RUNNER));
                         connection.addTo(channel.pipeline());
                     }
                 })
--- a/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerMeshTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerMeshTest.java
@@ -109,6 +109,24 @@
         assertTrue(bytes < 25_000, bytes + " bytes per second and host between zones");
     }
 
+    /** Four reports a second to each of two relays, each written as two buffers: its length and its content. */
+    @Test
+    void idleHostsThatAreNoRelaysOnlySendHeartbeats() {
+        start(87);
+        fleet.advance(6_000);
+        List<HostRecord> ranked = records.stream().sorted(HostRank.ORDER).toList();
+        SimulatedMesh.Host busy = hosts.get(records.indexOf(ranked.getLast()));
+        HostRecord idle = ranked.get(ranked.size() - 2);
+        long messagesBefore = fleet.messagesFrom(idle);
+        int seconds = 4;
+        for (int step = 0; step < seconds * 10; step++) {
+            busy.publish(sent(step));
+            fleet.advance(100);
+        }
+        long perSecond = (fleet.messagesFrom(idle) - messagesBefore) / seconds;
+        assertTrue(perSecond <= 4 * 2 * 2, perSecond + " buffers per second");
+    }
+
     @Test
     void lostRelaysAreReplaced() {
         start(87);
--- a/mangowall-edge/src/test/java/org/mangowall/edge/peer/SimulatedMesh.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/peer/SimulatedMesh.java
@@ -3,6 +3,7 @@
 import java.io.OutputStream;
 import java.time.Clock;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -28,6 +29,7 @@
     private final List<Link> links = new ArrayList<>();
     private final DecisionLog log = new DecisionLog(OutputStream.nullOutputStream(), Clock.systemUTC(), "fleet");
     private long now = 1;
+    private final Map<String, Long> messagesByHost = new HashMap<>();
     private long messages;
     private long bytesBetweenZones;
 
@@ -124,7 +126,9 @@
 
     private void transferAll() {
         for (Link link : List.copyOf(links)) {
+            long before = messages;
             transfer(link, link.near(), link.far());
+            messagesByHost.merge(link.from().name(), messages - before, Long::sum);
             transfer(link, link.far(), link.near());
             if (!link.near().isOpen() || !link.far().isOpen()) {
                 link.near().close();
@@ -157,6 +161,11 @@
         return messages;
     }
 
+    /** The number of buffers that a host wrote to the connections that it opened. */
+    long messagesFrom(HostRecord record) {
+        return messagesByHost.getOrDefault(record.name(), 0L);
+    }
+
     long bytesBetweenZones() {
         return bytesBetweenZones;
     }
