Compress long messages between hosts and encode only those that a peer takes

Cause: each event of each request goes to all hosts, uncompressed, and names runners, workspaces and services in full; each report was encoded in three forms whether a peer took them or not.

Change: messages from 256 bytes on are deflated, with a bound on the decompressed size; each form is encoded when the first peer takes it. PeerCodecTest.longReportsAreCompressed (fewer than half of the bytes; failed before by construction) and malformedCompressedMessagesAreRejected (truncated, damaged, too long).

--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerChannel.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerChannel.java
@@ -14,8 +14,6 @@
 final class PeerChannel extends SimpleChannelInboundHandler<ByteBuf> {
 
     private static final int LENGTH_BYTES = 4;
-    /** Large enough for a complete configuration. */
-    private static final int MAX_FRAME_BYTES = 8 << 20;
 
     private final Receiver receiver;
     private Channel channel;
@@ -41,7 +39,7 @@
         newChannel
                 .pipeline()
                 .addLast(
-                        new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
+                        new LengthFieldBasedFrameDecoder(PeerCodec.MAX_MESSAGE_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
                         new LengthFieldPrepender(LENGTH_BYTES),
                         this);
     }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerCodec.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerCodec.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
@@ -31,6 +32,12 @@
     private static final int MESSAGE_STORE_OBJECTS = 3;
     private static final int MESSAGE_ACKNOWLEDGEMENT = 4;
     private static final int MESSAGE_HANDOVER = 5;
+    private static final int MESSAGE_COMPRESSED = 6;
+    /** Shorter messages hardly become shorter. */
+    private static final int MIN_COMPRESSED_BYTES = 256;
+    /** Large enough for a complete configuration. */
+    static final int MAX_MESSAGE_BYTES = 8 << 20;
+
     private static final int EVENT_SENT = 1;
     private static final int EVENT_RESPONSE_STARTED = 2;
     private static final int EVENT_ENDED = 3;
@@ -46,7 +53,20 @@
 
     private PeerCodec() {}
 
+    /** Encodes a message; a long one is compressed. */
     static byte[] encode(HostMessage message) {
+        byte[] plain = encodePlain(message);
+        if (plain.length < MIN_COMPRESSED_BYTES) {
+            return plain;
+        }
+        byte[] compressed = FrameCompression.compress(plain);
+        byte[] encoded = new byte[compressed.length + 1];
+        encoded[0] = MESSAGE_COMPRESSED;
+        System.arraycopy(compressed, 0, encoded, 1, compressed.length);
+        return encoded;
+    }
+
+    private static byte[] encodePlain(HostMessage message) {
         try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
             switch (message) {
                 case HostMessage.Hello hello -> {
@@ -220,6 +240,13 @@
      * @throws MangowallException with {@code FRAME_INVALID} if the bytes are malformed
      */
     static HostMessage decode(byte[] bytes) {
+        if (bytes.length == 0 || bytes[0] != MESSAGE_COMPRESSED) {
+            return decodePlain(bytes);
+        }
+        return decodePlain(FrameCompression.decompress(Arrays.copyOfRange(bytes, 1, bytes.length), MAX_MESSAGE_BYTES));
+    }
+
+    private static HostMessage decodePlain(byte[] bytes) {
         try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
             int type = unpacker.unpackInt();
             return switch (type) {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -317,14 +318,10 @@
         reporter.nextReports(now).forEach(outgoing::add);
         boolean acknowledges = now - acknowledgedAt >= ACKNOWLEDGE_INTERVAL_NANOS;
         acknowledgedAt = acknowledges ? now : acknowledgedAt;
-        byte[] forRelays = PeerCodec.encode(outgoing.forRelays());
-        byte[] forNonRelays = PeerCodec.encode(outgoing.forNonRelays());
-        byte[] ownOnly = PeerCodec.encode(outgoing.ofHost(self.name()));
-        outgoing.clear();
+        Map<ReportScope, byte[]> encoded = new EnumMap<>(ReportScope.class);
         for (PeerState peer : membership.peers()) {
             if (peer.outbound() != null && peer.outbound().isWritable()) {
-                byte[] forNonRelay = peer.role().wantsAllReports() ? forNonRelays : ownOnly;
-                peer.outbound().send(peer.role().isRelay() ? forRelays : forNonRelay);
+                peer.outbound().send(encoded.computeIfAbsent(scopeFor(peer), this::encodeOutgoing));
                 if (peer.takeHandoverRequest()) {
                     peer.outbound().send(new HostMessage.Handover(handoverEvents(now)));
                 }
@@ -333,6 +330,30 @@
                 peer.inbound().send(ACKNOWLEDGEMENT);
             }
         }
+        outgoing.clear();
+    }
+
+    /** Which reports a peer takes from this host. */
+    private enum ReportScope {
+        OWN_ONLY,
+        FOR_RELAYS,
+        FOR_NON_RELAYS
+    }
+
+    private static ReportScope scopeFor(PeerState peer) {
+        if (peer.role().isRelay()) {
+            return ReportScope.FOR_RELAYS;
+        }
+        return peer.role().wantsAllReports() ? ReportScope.FOR_NON_RELAYS : ReportScope.OWN_ONLY;
+    }
+
+    private byte[] encodeOutgoing(ReportScope scope) {
+        return PeerCodec.encode(
+                switch (scope) {
+                    case OWN_ONLY -> outgoing.ofHost(self.name());
+                    case FOR_RELAYS -> outgoing.forRelays();
+                    case FOR_NON_RELAYS -> outgoing.forNonRelays();
+                });
     }
 
     private List<LoadEvent> handoverEvents(long now) {
--- a/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerCodecTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerCodecTest.java
@@ -1,5 +1,6 @@
 package org.mangowall.edge.peer;
 
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
@@ -21,6 +22,7 @@
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class PeerCodecTest {
 
@@ -112,4 +114,58 @@
         }
         assertThrows(MangowallException.class, () -> PeerCodec.decode(new byte[] {99}));
     }
+
+    /** What a relay forwards ten times a second: reports that name the same runners, workspaces and services. */
+    @Test
+    void longReportsAreCompressed() {
+        List<HostReport> reports = new ArrayList<>();
+        long plainBytes = 0;
+        for (int host = 0; host < 40; host++) {
+            List<LoadEvent> events = new ArrayList<>();
+            for (int number = 0; number < 6; number++) {
+                StreamOrigin origin =
+                        new StreamOrigin(Long.toHexString(host * 977L + number * 7919L), "moniteur", "v1");
+                events.add(new LoadEvent.Sent(
+                        number,
+                        "i-" + Integer.toHexString(host % 45 * 0x9E3779B1),
+                        Optional.of("workspace-" + host % 7),
+                        List.of(new PromptPart(host * 0x9E3779B97F4A7C15L, 400)),
+                        500,
+                        900,
+                        1_800,
+                        Optional.of(origin)));
+                events.add(new LoadEvent.ResponseStarted(number));
+                events.add(new LoadEvent.Ended(number, RunOutcome.COMPLETE, OptionalLong.empty()));
+            }
+            HostState state = new HostState(true, true, 100, Map.of(ObjectKind.RUNNER, 5L), Optional.empty(), events);
+            byte[] encoded = PeerCodec.encode(state);
+            plainBytes += encoded.length;
+            reports.add(new HostReport("edge-qc-est-a-" + host, 1_777_867_589_564L, 7, encoded));
+        }
+        byte[] message = PeerCodec.encode(new HostMessage.Reports(reports));
+        assertTrue(message.length * 2 < plainBytes, message.length + " of " + plainBytes + " bytes");
+        HostMessage.Reports decoded = (HostMessage.Reports) PeerCodec.decode(message);
+        assertEquals(40, decoded.reports().size());
+        assertArrayEquals(reports.getLast().state(), decoded.reports().getLast().state());
+    }
+
+    @Test
+    void malformedCompressedMessagesAreRejected() {
+        byte[] message = PeerCodec.encode(
+                new HostMessage.Reports(List.of(new HostReport("h", 7, 8, new byte[PeerCodec.MAX_MESSAGE_BYTES / 2]))));
+        for (int length = 1; length < message.length; length += 97) {
+            assertInvalid(Arrays.copyOf(message, length));
+        }
+        byte[] tooLong = PeerCodec.encode(
+                new HostMessage.Reports(List.of(new HostReport("h", 7, 8, new byte[PeerCodec.MAX_MESSAGE_BYTES + 1]))));
+        assertInvalid(tooLong);
+        byte[] damaged = message.clone();
+        Arrays.fill(damaged, 1, 40, (byte) -1);
+        assertInvalid(damaged);
+    }
+
+    private static void assertInvalid(byte[] message) {
+        MangowallException failure = assertThrows(MangowallException.class, () -> PeerCodec.decode(message));
+        assertEquals(FailureCode.FRAME_INVALID, failure.failureCode());
+    }
 }
