State the peer protocol's version and compress only for hosts that decode it

A hello now ends with the version of the protocol, which earlier programs neither send nor read; compressed messages go only to peers that state version 1 or later. PeerCodecTest.aHelloWithoutAVersionIsOfVersionZero.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/HostMessage.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/HostMessage.java
@@ -17,8 +17,9 @@
      * @param role the role of the sender towards the receiver
      * @param wantsHandover whether the sender has just started and needs a handover
      * @param known the other hosts that the sender knows
+     * @param version the version of the peer protocol that the sender speaks; 0 if it states none
      */
-    record Hello(HostRecord sender, LinkRole role, boolean wantsHandover, List<HostRecord> known)
+    record Hello(HostRecord sender, LinkRole role, boolean wantsHandover, List<HostRecord> known, int version)
             implements HostMessage {}
 
     /**
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerCodec.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerCodec.java
@@ -27,6 +27,11 @@
 /** Encodes and decodes the messages of the peer protocol as MessagePack. */
 final class PeerCodec {
 
+    /** The version of the peer protocol that this program speaks; hosts before the first one state none. */
+    static final int VERSION = 1;
+    /** Hosts of this version or a later one accept compressed messages. */
+    static final int COMPRESSION_VERSION = 1;
+
     private static final int MESSAGE_HELLO = 1;
     private static final int MESSAGE_REPORTS = 2;
     private static final int MESSAGE_STORE_OBJECTS = 3;
@@ -53,9 +58,8 @@
 
     private PeerCodec() {}
 
-    /** Encodes a message; a long one is compressed. */
-    static byte[] encode(HostMessage message) {
-        byte[] plain = encodePlain(message);
+    /** Compresses an encoded message if it is long; for hosts of {@link #COMPRESSION_VERSION} or later. */
+    static byte[] compress(byte[] plain) {
         if (plain.length < MIN_COMPRESSED_BYTES) {
             return plain;
         }
@@ -66,7 +70,7 @@
         return encoded;
     }
 
-    private static byte[] encodePlain(HostMessage message) {
+    static byte[] encode(HostMessage message) {
         try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
             switch (message) {
                 case HostMessage.Hello hello -> {
@@ -80,6 +84,7 @@
                     for (HostRecord host : hello.known()) {
                         packHost(packer, host);
                     }
+                    packer.packInt(hello.version());
                 }
                 case HostMessage.Reports reports -> packReports(packer, reports);
                 case HostMessage.Handover handover -> {
@@ -255,7 +260,8 @@
                             unpackHost(unpacker),
                             new LinkRole(unpacker.unpackBoolean(), unpacker.unpackBoolean(), unpacker.unpackBoolean()),
                             unpacker.unpackBoolean(),
-                            unpackHosts(unpacker));
+                            unpackHosts(unpacker),
+                            unpacker.hasNext() ? unpacker.unpackInt() : 0);
                 case MESSAGE_REPORTS -> unpackReports(unpacker);
                 case MESSAGE_HANDOVER -> new HostMessage.Handover(unpackEvents(unpacker));
                 case MESSAGE_STORE_OBJECTS -> unpackObjects(unpacker);
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
@@ -247,7 +247,7 @@
             LinkRole role = roleFor(peer);
             if (peer.outbound() != null && !role.equals(peer.announcedRole())) {
                 peer.setAnnouncedRole(role);
-                peer.outbound().send(new HostMessage.Hello(self, role, false, List.of()));
+                peer.outbound().send(new HostMessage.Hello(self, role, false, List.of(), PeerCodec.VERSION));
             }
         }
     }
@@ -310,7 +310,7 @@
                 membership.alive(now).stream().map(PeerState::host).toList();
         boolean wantsHandover = handoverRequests < MAX_HANDOVER_REQUESTS;
         handoverRequests += wantsHandover ? 1 : 0;
-        outbound.send(new HostMessage.Hello(self, role, wantsHandover, known));
+        outbound.send(new HostMessage.Hello(self, role, wantsHandover, known, PeerCodec.VERSION));
         outbound.send(new HostMessage.Reports(List.of(reporter.fullReport(now))));
     }
 
@@ -318,10 +318,17 @@
         reporter.nextReports(now).forEach(outgoing::add);
         boolean acknowledges = now - acknowledgedAt >= ACKNOWLEDGE_INTERVAL_NANOS;
         acknowledgedAt = acknowledges ? now : acknowledgedAt;
-        Map<ReportScope, byte[]> encoded = new EnumMap<>(ReportScope.class);
+        Map<ReportScope, byte[]> plain = new EnumMap<>(ReportScope.class);
+        Map<ReportScope, byte[]> compressed = new EnumMap<>(ReportScope.class);
         for (PeerState peer : membership.peers()) {
             if (peer.outbound() != null && peer.outbound().isWritable()) {
-                peer.outbound().send(encoded.computeIfAbsent(scopeFor(peer), this::encodeOutgoing));
+                ReportScope scope = scopeFor(peer);
+                byte[] reports = plain.computeIfAbsent(scope, this::encodeOutgoing);
+                peer.outbound()
+                        .send(
+                                peer.acceptsCompression()
+                                        ? compressed.computeIfAbsent(scope, key -> PeerCodec.compress(reports))
+                                        : reports);
                 if (peer.takeHandoverRequest()) {
                     peer.outbound().send(new HostMessage.Handover(handoverEvents(now)));
                 }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerState.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerState.java
@@ -28,6 +28,7 @@
     private boolean isReady;
     private boolean hasStore = true;
     private LinkRole role = LinkRole.UNKNOWN;
+    private int protocolVersion;
     private boolean isThroughRelay;
     private Map<ObjectKind, Long> completeTo = Map.of();
     private long lastSequence;
@@ -85,9 +86,15 @@
         }
         inbound = from;
         role = hello.role();
+        protocolVersion = hello.version();
         wantsHandover |= hello.wantsHandover();
     }
 
+    /** Whether the peer is known to decode compressed messages. */
+    boolean acceptsCompression() {
+        return protocolVersion >= PeerCodec.COMPRESSION_VERSION;
+    }
+
     /** Whether reports of the peer can arrive. */
     boolean isConnected() {
         return inbound != null || isThroughRelay;
