--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/EdgeMain.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/EdgeMain.java
@@ -35,7 +35,9 @@
     @Parameter(names = "--check", description = "check the settings and exit")
     private boolean isCheckOnly;
 
-    @Parameter(names = "--train", description = "start, run sample requests for the ahead-of-time cache, and exit")
+    @Parameter(
+            names = "--train",
+            description = "start, run sample requests to list the classes for the archive, and exit")
     private boolean isTraining;
 
     @Parameter(names = "--help", help = true, description = "show this help")
