Cut no request or response at a planned stop, end stalled streams, survive unexpected errors

A planned stop, and the idle timeout: a connection counted as idle as soon as its response had been handed to Netty, so that a host that stopped (or a caller that read for longer than the idle timeout) lost the rest of the response, and a request of which only a part had arrived didn't keep the process alive.

A stalled stream: each byte of a runner restarted the timer for the next event, so that a runner that sent a byte now and then held a stream until the route's timeout, and the caller got a broken response. Only whole events restart it now.

GuardedTask logs "task-failed" and goes on. No message that causes such an error is known; the guard is for those that nobody foresaw.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
@@ -18,6 +18,7 @@
 import org.mangowall.edge.decision.FleetLoad;
 import org.mangowall.edge.decision.LoadEvent;
 import org.mangowall.edge.log.DecisionLog;
+import org.mangowall.edge.log.GuardedTask;
 import org.mangowall.edge.log.TrafficMeter;
 import org.mangowall.edge.mirror.StoreAvailability;
 import org.mangowall.edge.mirror.StoreMirror;
@@ -148,7 +149,7 @@
 
     /** Starts to connect and report; continues until the event loop shuts down. */
     public void start(EventLoop loop) {
-        tick();
+        new GuardedTask(log, "peer-mesh", this::tick).run();
         loop.schedule(() -> start(loop), tickMillis(), TimeUnit.MILLISECONDS);
     }
 
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
@@ -26,6 +26,7 @@
 import org.mangowall.edge.decision.LoadEvent;
 import org.mangowall.edge.log.DecisionLog;
 import org.mangowall.edge.log.EdgeMetrics;
+import org.mangowall.edge.log.GuardedTask;
 import org.mangowall.edge.log.TrafficMeter;
 import org.mangowall.edge.mirror.RunnerRegistry;
 import org.mangowall.edge.mirror.StoreAvailability;
@@ -167,8 +168,16 @@
                         this::needsHostList)
                 .start();
         mesh.start(loop);
-        loop.scheduleAtFixedRate(this::dropExpired, EXPIRY_CHECK_MILLIS, EXPIRY_CHECK_MILLIS, TimeUnit.MILLISECONDS);
-        new LoopDelayMonitor(loop, System::nanoTime, this::logLoad).start();
+        loop.scheduleAtFixedRate(
+                new GuardedTask(log, "expiry", this::dropExpired),
+                EXPIRY_CHECK_MILLIS,
+                EXPIRY_CHECK_MILLIS,
+                TimeUnit.MILLISECONDS);
+        new LoopDelayMonitor(
+                        loop,
+                        System::nanoTime,
+                        delayNanos -> new GuardedTask(log, "load", () -> logLoad(delayNanos)).run())
+                .start();
     }
 
     /** When a whole fleet starts for the first time, hosts discover each other before any of them reads the store. */
@@ -283,6 +292,10 @@
     }
 
     private void objectChanged(StoredObject object) {
+        new GuardedTask(log, "store-object " + object.name(), () -> applyObject(object)).run();
+    }
+
+    private void applyObject(StoredObject object) {
         long now = System.nanoTime();
         switch (object.kind()) {
             case CONFIGURATION -> configurationChanged(object);
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/CallerConnection.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/CallerConnection.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -228,19 +229,30 @@
             }
             return;
         }
+        if (hasUnsentBytes()) {
+            idleSince = now;
+            return;
+        }
         if (now - idleSince > limits.idleTimeout().toNanos()) {
             channel.close();
         }
     }
 
-    /** Closes the connection if no request is being read, queued or processed. */
+    /** Closes the connection unless it is busy. */
     void closeIfIdle() {
-        if (exchange == null && readStartedAt == 0 && queued.isEmpty()) {
+        if (!isBusy()) {
             channel.close();
         }
     }
 
+    /** Whether a request is being read, queued or processed, or the end of a response is still to be sent. */
     boolean isBusy() {
-        return exchange != null;
+        return exchange != null || readStartedAt != 0 || !queued.isEmpty() || hasUnsentBytes();
+    }
+
+    /** Whether bytes of a response wait for a slow caller; closing the connection would drop them. */
+    private boolean hasUnsentBytes() {
+        ChannelOutboundBuffer unsent = channel.unsafe().outboundBuffer();
+        return unsent != null && unsent.totalPendingWriteBytes() > 0;
     }
 }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/CallerConnections.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/CallerConnections.java
@@ -11,6 +11,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import org.mangowall.edge.log.GuardedTask;
 import org.mangowall.edge.log.TrafficMeter;
 import org.mangowall.edge.model.CallerLimits;
 
@@ -29,7 +30,10 @@
         this.runners = runners;
         context.loop()
                 .scheduleAtFixedRate(
-                        this::checkTimeouts, TIMEOUT_CHECK_MILLIS, TIMEOUT_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+                        new GuardedTask(context.log(), "caller-timeouts", this::checkTimeouts),
+                        TIMEOUT_CHECK_MILLIS,
+                        TIMEOUT_CHECK_MILLIS,
+                        TimeUnit.MILLISECONDS);
     }
 
     @Override
@@ -57,7 +61,7 @@
         connections.remove(connection);
     }
 
-    /** The number of requests in progress. */
+    /** The number of connections with a request that is being read or processed, or a response that is being sent. */
     public long activeRequests() {
         return connections.stream().filter(CallerConnection::isBusy).count();
     }
@@ -67,7 +71,7 @@
         List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
     }
 
-    private void checkTimeouts() {
+    void checkTimeouts() {
         long now = context.now();
         List.copyOf(connections).forEach(connection -> connection.checkTimeouts(now));
     }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerAttempt.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerAttempt.java
@@ -235,8 +235,8 @@
             bufferPart(bytes);
             return;
         }
-        restartStallTimer(StallTimeouts.betweenPartsMillis(exchange.route()));
         if (splitter == null) {
+            restartStallTimer(StallTimeouts.betweenPartsMillis(exchange.route()));
             exchange.forward(this, head, bytes.retainedDuplicate());
             return;
         }
@@ -247,6 +247,8 @@
             return;
         }
         if (events.isReadable()) {
+            // Only whole events are progress: a runner that sends a byte now and then has stalled.
+            restartStallTimer(StallTimeouts.betweenPartsMillis(exchange.route()));
             splitter.lastEventIdentifier().ifPresent(exchange.stream()::recordLastEvent);
             exchange.forward(this, head, events);
         }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerConnections.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerConnections.java
@@ -13,6 +13,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import org.mangowall.edge.log.GuardedTask;
 import org.mangowall.edge.log.TrafficMeter;
 import org.mangowall.edge.model.RunnerEntry;
 import org.mangowall.edge.model.ServiceDescription;
@@ -35,7 +36,11 @@
     public RunnerConnections(EdgeContext context) {
         this.context = context;
         context.loop()
-                .scheduleAtFixedRate(this::sweep, SWEEP_INTERVAL_MILLIS, SWEEP_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+                .scheduleAtFixedRate(
+                        new GuardedTask(context.log(), "runner-connections", this::sweep),
+                        SWEEP_INTERVAL_MILLIS,
+                        SWEEP_INTERVAL_MILLIS,
+                        TimeUnit.MILLISECONDS);
     }
 
     /**
--- a/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerMeshTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerMeshTest.java
@@ -1,16 +1,25 @@
 package org.mangowall.edge.peer;
 
+import java.io.OutputStream;
 import java.net.InetSocketAddress;
+import java.time.Clock;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
+import io.netty.channel.embedded.EmbeddedChannel;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.mangowall.edge.decision.FleetLoad;
 import org.mangowall.edge.decision.LoadEvent;
 import org.mangowall.edge.decision.RunOutcome;
+import org.mangowall.edge.log.DecisionLog;
+import org.mangowall.edge.mirror.StoreAvailability;
+import org.mangowall.edge.mirror.StoreMirror;
 import org.mangowall.edge.model.HostRecord;
 import org.mangowall.edge.model.RunnerEntry;
 
@@ -187,4 +196,34 @@
             fleet.advance(500);
         }
     }
+
+    /** One error that nobody foresaw must not end the exchange of reports of a host for good. */
+    @Test
+    void theExchangeGoesOnAfterAnUnexpectedError() {
+        AtomicInteger dials = new AtomicInteger();
+        AtomicInteger reports = new AtomicInteger();
+        EmbeddedChannel channel = new EmbeddedChannel();
+        try (DecisionLog log = new DecisionLog(OutputStream.nullOutputStream(), Clock.systemUTC(), "h")) {
+            PeerMesh mesh = new PeerMesh(
+                    record(0, 1),
+                    List.of("10.0.0.2:7"),
+                    new FleetLoad("edge-0", 4_000_000_000L),
+                    new StoreMirror(object -> {}),
+                    new StoreAvailability(0),
+                    log,
+                    (address, receiver, listener) -> {
+                        throw new IllegalStateException("attempt " + dials.incrementAndGet());
+                    },
+                    () -> 1 + dials.get() * 2_000_000_000L,
+                    () -> reports.incrementAndGet() > 0);
+            mesh.start(channel.eventLoop());
+            assertEquals(1, dials.get());
+            assertEquals(0, reports.get());
+            channel.advanceTimeBy(1, TimeUnit.SECONDS);
+            channel.runScheduledPendingTasks();
+            assertTrue(reports.get() > 0, "no report after the error");
+        } finally {
+            channel.close();
+        }
+    }
 }
--- a/mangowall-edge/src/test/java/org/mangowall/edge/traffic/RunnerConnectionTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/traffic/RunnerConnectionTest.java
@@ -9,7 +9,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.bootstrap.Bootstrap;
@@ -24,16 +23,12 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.mangowall.edge.model.CallerRequest;
 import org.mangowall.edge.model.RunnerEntry;
 import org.mangowall.edge.model.RunnerResponse;
-import org.mangowall.edge.wire.Dispatch;
-import org.mangowall.edge.wire.HttpMessageCodec;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -156,44 +151,4 @@
             events.add("lost");
         }
     }
-
-    /** Responses without any headers of the platform. */
-    private static final class PlainMessages implements HttpMessageCodec {
-
-        @Override
-        public RunnerResponse readResponse(HttpResponse head) {
-            return new RunnerResponse(
-                    head.status().code(),
-                    Optional.empty(),
-                    true,
-                    false,
-                    false,
-                    Optional.empty(),
-                    Optional.empty(),
-                    Optional.empty(),
-                    Optional.empty(),
-                    false,
-                    false);
-        }
-
-        @Override
-        public CallerRequest readRequest(HttpRequest head) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public HttpRequest requestForRunner(HttpRequest head, Dispatch dispatch) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public HttpRequest exampleRequest(String hostName, String path, String key, int number) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public void markExampleResponse(HttpRequest request, HttpResponse response) {
-            throw new UnsupportedOperationException();
-        }
-    }
 }
