--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
@@ -285,9 +285,12 @@
         for (LoadEvent event : running) {
             if (event instanceof LoadEvent.Sent sent) {
                 numbers.add(sent.number());
+                if (inFlight.containsKey(sent.number())) {
+                    continue;
+                }
                 sent.stream().ifPresent(origin -> streamOrigins.record(origin, now));
                 RunnerState runner = runners.get(sent.runner());
-                if (runner != null && !inFlight.containsKey(sent.number())) {
+                if (runner != null) {
                     begin(inFlight, new InFlightRequest(sent, runner, now));
                 }
             } else {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerCodec.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerCodec.java
@@ -56,6 +56,10 @@
     private static final int SUSPECT_PART = 1;
     private static final int SUSPECT_REQUEST = 2;
 
+    /** The default buffer of 16 KB would be allocated for each of many short reports. */
+    private static final MessagePack.UnpackerConfig UNPACKERS =
+            new MessagePack.UnpackerConfig().withStringDecoderBufferSize(64);
+
     private PeerCodec() {}
 
     /** Compresses an encoded message if it is long; for hosts of {@link #COMPRESSION_VERSION} or later. */
@@ -252,7 +256,7 @@
     }
 
     private static HostMessage decodePlain(byte[] bytes) {
-        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+        try (MessageUnpacker unpacker = UNPACKERS.newUnpacker(bytes)) {
             int type = unpacker.unpackInt();
             return switch (type) {
                 case MESSAGE_HELLO ->
@@ -311,7 +315,7 @@
      * @throws MangowallException with {@code FRAME_INVALID} if the bytes are malformed
      */
     static HostState decodeState(byte[] bytes) {
-        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+        try (MessageUnpacker unpacker = UNPACKERS.newUnpacker(bytes)) {
             boolean isReady = unpacker.unpackBoolean();
             boolean hasStore = unpacker.unpackBoolean();
             long storeResponseAgeMillis = unpacker.unpackLong();
