--- a/mangowall-edge/src/main/java/org/mangowall/edge/log/GuardedTask.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/log/GuardedTask.java
@@ -30,7 +30,7 @@
             log.write("task-failed", line -> {
                 line.writeStringField("task", name);
                 line.writeStringField("reason", unexpected.toString());
-                line.writeStringField("at-line", String.valueOf(firstFrame(unexpected)));
+                line.writeStringField("location", String.valueOf(firstFrame(unexpected)));
             });
         }
     }
