--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
@@ -223,11 +223,6 @@
         return hosts;
     }
 
-    /** Returns how many requests a host has in progress at runners, as it last reported. */
-    public int openRequestsOf(String host) {
-        return inFlightByHost.getOrDefault(host, Map.of()).size();
-    }
-
     /** Returns the name of this host. */
     public String self() {
         return self;
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/Rendezvous.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/Rendezvous.java
@@ -15,11 +15,6 @@
         return mixed ^ (mixed >>> 31);
     }
 
-    /** Returns the weight of a candidate for a key as a fraction, greater than 0 and less than 1. */
-    static double fraction(String key, String candidate) {
-        return ((weight(key, candidate) >>> 12) + 0.5) * 0x1.0p-52;
-    }
-
     /**
      * Returns whether a candidate is among those with the highest weights for a key.
      *
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/DirectoryHandler.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/DirectoryHandler.java
@@ -1,12 +1,11 @@
 package org.mangowall.edge.program;
 
-import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.BiFunction;
 import java.util.function.BooleanSupplier;
+import java.util.function.Function;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
@@ -30,26 +29,26 @@
 
     private final DirectoryCodec codec;
     private final BooleanSupplier isReady;
-    private final BiFunction<String, String, List<String>> addressesByCaller;
+    private final Function<String, List<String>> addressesByZone;
     private final Duration cacheTime;
     private final EdgeMetrics metrics;
 
     DirectoryHandler(
             DirectoryCodec codec,
             BooleanSupplier isReady,
-            BiFunction<String, String, List<String>> addressesByCaller,
+            Function<String, List<String>> addressesByZone,
             Duration cacheTime,
             EdgeMetrics metrics) {
         this.codec = codec;
         this.isReady = isReady;
-        this.addressesByCaller = addressesByCaller;
+        this.addressesByZone = addressesByZone;
         this.cacheTime = cacheTime;
         this.metrics = metrics;
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-        FullHttpResponse response = response(context, request);
+        FullHttpResponse response = response(request);
         response.headers()
                 .set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
         boolean isPersistent = HttpUtil.isKeepAlive(request);
@@ -59,7 +58,7 @@
         }
     }
 
-    private FullHttpResponse response(ChannelHandlerContext context, FullHttpRequest request) {
+    private FullHttpResponse response(FullHttpRequest request) {
         if (request.decoderResult().isFailure()) {
             return response(
                     HttpResponseStatus.BAD_REQUEST,
@@ -74,7 +73,7 @@
             return response(HttpResponseStatus.NOT_FOUND, "text/plain", new byte[0]);
         }
         return switch (call.get()) {
-            case DirectoryCall.EntryHosts query -> entryHosts(query, callerOf(context));
+            case DirectoryCall.EntryHosts query -> entryHosts(query);
             case DirectoryCall.Readiness readiness ->
                 response(
                         isReady.getAsBoolean() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
@@ -83,15 +82,8 @@
         };
     }
 
-    /** The identity of the caller: its address, the same for all its connections. */
-    private static String callerOf(ChannelHandlerContext context) {
-        return context.channel().remoteAddress() instanceof InetSocketAddress address
-                ? address.getAddress().getHostAddress()
-                : "";
-    }
-
-    private FullHttpResponse entryHosts(DirectoryCall.EntryHosts query, String caller) {
-        List<String> usable = addressesByCaller.apply(query.zone(), caller);
+    private FullHttpResponse entryHosts(DirectoryCall.EntryHosts query) {
+        List<String> usable = addressesByZone.apply(query.zone());
         if (usable.isEmpty()) {
             return response(HttpResponseStatus.SERVICE_UNAVAILABLE, "text/plain", new byte[0]);
         }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
@@ -21,7 +21,6 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import org.mangowall.edge.decision.CrashSuspect;
-import org.mangowall.edge.decision.EntryHostSelection;
 import org.mangowall.edge.decision.FleetLoad;
 import org.mangowall.edge.decision.LoadEvent;
 import org.mangowall.edge.log.DecisionLog;
@@ -280,15 +279,12 @@
                 && !context.lifecycle().isLeaving();
     }
 
-    private List<String> entryHosts(String callerZone, String caller) {
+    private List<String> entryHosts(String callerZone) {
         List<HostRecord> ready = new ArrayList<>(mesh.readyPeers());
         if (isReady()) {
             ready.add(self);
         }
-        List<EntryHostSelection.Candidate> candidates = ready.stream()
-                .map(host -> new EntryHostSelection.Candidate(host, fleet.openRequestsOf(host.name())))
-                .toList();
-        return EntryHostSelection.select(candidates, callerZone, caller);
+        return EntryHostSelector.select(ready, callerZone, random);
     }
 
     private void objectChanged(StoredObject object) {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/JvmWarmUp.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/JvmWarmUp.java
@@ -49,8 +49,8 @@
  */
 public final class JvmWarmUp implements AutoCloseable {
 
-    /** Enough requests to initialize the data path and to compile its inner loops; more would delay the start. */
-    public static final int COMPILING_REQUESTS = 60;
+    /** Enough requests for the JVM to compile the data path. */
+    public static final int COMPILING_REQUESTS = 300;
     /** Enough requests to load the classes of the data path. */
     static final int CLASS_LOADING_REQUESTS = 20;
 
