--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerState.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerState.java
@@ -146,6 +146,7 @@
         if (inbound == gone) {
             inbound = null;
             role = LinkRole.UNKNOWN;
+            protocolVersion = 0;
         }
         if (outbound == gone) {
             outbound = null;
