Place no request before its connections are read, and count its time from its first byte

Cause: a host that is behind reads a request in one turn of its loop and places and sends it there; the end of the caller's connection, which arrived seconds before, is read in a later turn. Its time counted from the end of its body, so what it had waited was given to the runner again. Ruled out: what lies on the host's link already (a reset of cancelled requests was there and did not cure it). Change: DeferredWork runs starts of requests and sends over new connections after the next turn's reads, 20 ms of work a turn at most. LoopDelayMonitor says how old bytes may be that are read now; RequestTiming counts from the first byte, also of a pipelined request. A request without time left is rejected before it is placed. The log line 'ended' says how long a request took to arrive and to be started.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
@@ -172,11 +172,7 @@
                 EXPIRY_CHECK_MILLIS,
                 EXPIRY_CHECK_MILLIS,
                 TimeUnit.MILLISECONDS);
-        new LoopDelayMonitor(
-                        loop,
-                        System::nanoTime,
-                        delayNanos -> new GuardedTask(log, "load", () -> logLoad(delayNanos)).run())
-                .start();
+        context.loopDelay().start(delayNanos -> new GuardedTask(log, "load", () -> logLoad(delayNanos)).run());
     }
 
     /** When a whole fleet starts for the first time, hosts discover each other before any of them reads the store. */
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/CallerConnection.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/CallerConnection.java
@@ -34,7 +34,7 @@
     private final EdgeContext context;
     private final RunnerConnections runners;
     private final CallerConnections connections;
-    private final Deque<HttpObject> queued = new ArrayDeque<>();
+    private final Deque<QueuedPart> queued = new ArrayDeque<>();
     private Channel channel;
     private HttpRequest head;
     private ByteBuf body;
@@ -42,6 +42,7 @@
     private boolean isClosing;
     private long idleSince;
     private long readStartedAt;
+    private long requestArrivedAt;
 
     CallerConnection(EdgeContext context, RunnerConnections runners, CallerConnections connections) {
         this.context = context;
@@ -49,6 +50,9 @@
         this.connections = connections;
     }
 
+    /** A part of a pipelined request, read while another request is processed. */
+    private record QueuedPart(HttpObject part, long arrivedAt) {}
+
     @Override
     public void handlerAdded(ChannelHandlerContext handlerContext) {
         channel = handlerContext.channel();
@@ -82,16 +86,22 @@
             channel.close();
             return;
         }
-        queued.addLast((HttpObject) message);
+        queued.addLast(new QueuedPart((HttpObject) message, earliestArrival()));
     }
 
     /** Bytes were received; they start a new request unless one is being read or processed. */
     void bytesReceived() {
         if (exchange == null && readStartedAt == 0) {
             readStartedAt = context.now();
+            requestArrivedAt = earliestArrival();
         }
     }
 
+    /** When bytes that are read now may have arrived at the earliest. */
+    private long earliestArrival() {
+        return context.now() - context.loopDelay().currentDelayNanos();
+    }
+
     private void read(HttpObject message) {
         try {
             if (message.decoderResult().isFailure()) {
@@ -146,8 +156,8 @@
             head = null;
             body = null;
             readStartedAt = 0;
-            exchange = new Exchange(context, runners, this, request, completeBody);
-            exchange.start();
+            exchange = new Exchange(context, runners, this, request, completeBody, requestArrivedAt);
+            context.deferredWork().add(exchange::start);
         }
     }
 
@@ -173,7 +183,7 @@
             body.release();
             body = null;
         }
-        queued.forEach(ReferenceCountUtil::release);
+        queued.forEach(waiting -> ReferenceCountUtil.release(waiting.part()));
         queued.clear();
     }
 
@@ -192,8 +202,16 @@
             return;
         }
         while (exchange == null && !isClosing && !queued.isEmpty()) {
-            read(queued.pollFirst());
+            readQueued(queued.pollFirst());
+        }
+    }
+
+    private void readQueued(QueuedPart next) {
+        if (next.part() instanceof HttpRequest) {
+            readStartedAt = context.now();
+            requestArrivedAt = next.arrivedAt();
         }
+        read(next.part());
     }
 
     /** Closes the connection so that the caller sees that the response is incomplete. */
--- /dev/null
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/DeferredWork.java
@@ -0,0 +1,58 @@
+package org.mangowall.edge.traffic;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+import io.netty.channel.EventLoop;
+
+/**
+ * Runs work on requests after the event loop has read everything that had arrived before.
+ *
+ * <p>Load: a host that is behind finds a request, and in a later turn of its loop the end of the caller's connection,
+ * though both arrived long ago. Work that runs as soon as the request is read reaches a runner for a caller who has
+ * left. Deferred work runs after one more turn of the loop, in which the end of the connection is read, and for a
+ * bounded time in each turn, so that the next end of a connection is read soon.
+ */
+final class DeferredWork {
+
+    /** Work in one turn of the loop; well below the half second after which a caller's leaving has to be noticed. */
+    private static final long MAX_TURN_NANOS = 20_000_000L;
+
+    private final EventLoop loop;
+    private final LongSupplier nanoClock;
+    private final Deque<Runnable> waiting = new ArrayDeque<>();
+    private boolean isScheduled;
+
+    DeferredWork(EventLoop loop, LongSupplier nanoClock) {
+        this.loop = loop;
+        this.nanoClock = nanoClock;
+    }
+
+    /** Adds work, which runs in the order of the calls. */
+    void add(Runnable work) {
+        waiting.addLast(work);
+        if (!isScheduled) {
+            isScheduled = true;
+            loop.execute(this::afterThisTurn);
+        }
+    }
+
+    /** Scheduled from a task of this turn, even a task without delay runs in the next turn, after its reads. */
+    private void afterThisTurn() {
+        loop.schedule(this::run, 0, TimeUnit.NANOSECONDS);
+    }
+
+    private void run() {
+        isScheduled = false;
+        long startedAt = nanoClock.getAsLong();
+        while (!waiting.isEmpty() && nanoClock.getAsLong() - startedAt < MAX_TURN_NANOS) {
+            waiting.pollFirst().run();
+        }
+        if (!waiting.isEmpty() && !isScheduled) {
+            isScheduled = true;
+            afterThisTurn();
+        }
+    }
+}
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/EdgeContext.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/EdgeContext.java
@@ -32,6 +32,8 @@
     private final DoubleSupplier random;
     private final LoadEventPublisher eventPublisher;
     private final String zone;
+    private final DeferredWork deferredWork;
+    private final LoopDelayMonitor loopDelay;
     private final Lifecycle lifecycle = new Lifecycle();
     private final Map<String, SharedRetryBudget> retryBudgets = new HashMap<>();
     private Optional<RouteTable> table = Optional.empty();
@@ -62,6 +64,8 @@
         this.random = random;
         this.eventPublisher = eventPublisher;
         this.zone = zone;
+        this.deferredWork = new DeferredWork(loop, nanoClock);
+        this.loopDelay = new LoopDelayMonitor(loop, nanoClock);
     }
 
     HttpMessageCodec messages() {
@@ -96,6 +100,16 @@
         return loop;
     }
 
+    /** Work on requests that waits for the reads of this turn and the next one. */
+    DeferredWork deferredWork() {
+        return deferredWork;
+    }
+
+    /** Returns the monitor of the event loop's delay. */
+    public LoopDelayMonitor loopDelay() {
+        return loopDelay;
+    }
+
     /** The current time in nanoseconds, from the monotonic clock that all decisions use. */
     public long now() {
         return nanoClock.getAsLong();
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
@@ -28,7 +28,11 @@
 import org.mangowall.kernel.failure.FailureCode;
 import org.mangowall.kernel.failure.MangowallException;
 
-/** One caller request, from the arrival of its last byte to the last byte of its response. */
+/**
+ * One caller request, from the arrival of its last byte to the last byte of its response.
+ *
+ * <p>Its time counts from the arrival of its first byte.
+ */
 final class Exchange {
 
     static final double NANOS_PER_MILLI = 1e6;
@@ -51,7 +55,7 @@
     private final CallerConnection caller;
     private final HttpRequest head;
     private final ByteBuf body;
-    private final long startedAt;
+    private final RequestTiming timing;
     private final ExchangeLog log;
     private final Set<String> excludedRunners = new HashSet<>();
     private CallerRequest request;
@@ -64,23 +68,37 @@
     private RunnerAttempt lastSent;
     private ScheduledFuture<?> deadline;
     private OptionalLong fingerprint = OptionalLong.empty();
-    private double timeoutMillis;
     private int offers;
     private int runs;
     private boolean isFinished;
 
-    Exchange(EdgeContext context, RunnerConnections runners, CallerConnection caller, HttpRequest head, ByteBuf body) {
+    /**
+     * Creates an exchange that isn't started.
+     *
+     * @param arrivedAt when the first byte of the request arrived, as far as this host knows
+     */
+    Exchange(
+            EdgeContext context,
+            RunnerConnections runners,
+            CallerConnection caller,
+            HttpRequest head,
+            ByteBuf body,
+            long arrivedAt) {
         this.context = context;
         this.runners = runners;
         this.caller = caller;
         this.head = head;
         this.body = body;
-        this.startedAt = context.now();
+        this.timing = new RequestTiming(context::now, arrivedAt);
         this.log = new ExchangeLog(context);
     }
 
-    /** Resolves the route and the workspace, and places the request on a runner. */
+    /** Resolves the route and the workspace, and places the request on a runner, unless the caller has left. */
     void start() {
+        if (isFinished) {
+            return;
+        }
+        timing.start();
         boolean isKeepAlive = HttpUtil.isKeepAlive(head) && !context.lifecycle().isLeaving();
         writer = new ResponseWriter(caller.channel(), head.method(), head.protocolVersion(), isKeepAlive);
         Optional<FailureCode> failure = admit();
@@ -89,9 +107,13 @@
             return;
         }
         double timeout = route.timeout().toMillis();
-        timeoutMillis = request.callerTimeout()
+        timing.setTimeoutMillis(request.callerTimeout()
                 .map(time -> Math.min(timeout, time.toNanos() / NANOS_PER_MILLI))
-                .orElse(timeout);
+                .orElse(timeout));
+        if (timing.remainingMillis() < MIN_REMAINING_MILLIS) {
+            reject(FailureCode.QUEUE_TIMEOUT, 0);
+            return;
+        }
         stream = new StreamPosition(request);
         if (route.kind().isStream() && !stream.findOrigin(context.fleet(), route, context.now())) {
             log.originUnknown(this);
@@ -100,7 +122,7 @@
         }
         service = stream.origin().map(StreamOrigin::service).orElseGet(() -> route.serviceFor(context.nextRandom()));
         context.retryBudget(service).recordRequest(context.now());
-        deadline = context.loop().schedule(this::timedOut, (long) timeoutMillis, TimeUnit.MILLISECONDS);
+        deadline = context.loop().schedule(this::timedOut, (long) timing.remainingMillis(), TimeUnit.MILLISECONDS);
         place();
     }
 
@@ -148,8 +170,8 @@
                 stream.origin().map(StreamOrigin::softwareVersion),
                 context.zone(),
                 excludedRunners,
-                elapsedMillis(),
-                remainingMillis(),
+                timing.elapsedMillis(),
+                timing.remainingMillis(),
                 context.nextRandom());
         switch (context.placement().decide(placementRequest, context.now())) {
             case PlacementDecision.Reject rejection -> placementRejected(rejection);
@@ -204,7 +226,7 @@
                 request,
                 newAttempt.runner(),
                 workspace,
-                Duration.ofNanos((long) (remainingMillis() * NANOS_PER_MILLI)),
+                Duration.ofNanos((long) (timing.remainingMillis() * NANOS_PER_MILLI)),
                 newAttempt.decision().cacheHolder().map(holder -> holder.address()),
                 stream.lastEvent());
         return context.messages().requestForRunner(head, dispatch);
@@ -267,12 +289,8 @@
         return stream;
     }
 
-    double elapsedMillis() {
-        return (context.now() - startedAt) / NANOS_PER_MILLI;
-    }
-
-    private double remainingMillis() {
-        return Math.max(1, timeoutMillis - elapsedMillis());
+    RequestTiming timing() {
+        return timing;
     }
 
     /** No connection was available, so the request has not reached the runner. */
@@ -303,7 +321,7 @@
             return;
         }
         excludedRunners.add(tried.runner().identifier());
-        if (mayOffer && offers < MAX_OFFERS && remainingMillis() > MIN_REMAINING_MILLIS) {
+        if (mayOffer && offers < MAX_OFFERS && timing.remainingMillis() > MIN_REMAINING_MILLIS) {
             place();
             return;
         }
@@ -353,7 +371,7 @@
 
     private boolean canRetry() {
         return runs < route.maxRunners()
-                && remainingMillis() > MIN_REMAINING_MILLIS
+                && timing.remainingMillis() > MIN_REMAINING_MILLIS
                 && context.retryBudget(service).tryTake(context.fleet().hostCount(), context.now());
     }
 
@@ -379,7 +397,7 @@
     void forward(RunnerAttempt source, HttpResponse responseHead, ByteBuf bytes) {
         stream.forwardedFrom(source.runner());
         if (!writer.hasStarted()) {
-            context.metrics().observeFirstByte(route.name(), elapsedMillis() / 1_000);
+            context.metrics().observeFirstByte(route.name(), timing.elapsedMillis() / 1_000);
         }
         writer.writePart(responseHead, bytes);
         if (!caller.channel().isWritable()) {
@@ -411,7 +429,7 @@
             giveUp(FailureCode.RUNNER_ANSWER_INVALID);
             return;
         }
-        context.metrics().observeFirstByte(route.name(), elapsedMillis() / 1_000);
+        context.metrics().observeFirstByte(route.name(), timing.elapsedMillis() / 1_000);
         writer.writeComplete(response, responseBody);
         finish(String.valueOf(response.status().code()));
         caller.responseSent(writer.isKeepAlive());
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/ExchangeLog.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/ExchangeLog.java
@@ -94,7 +94,7 @@
             line.writeStringField("reason", reason);
             line.writeStringField("fingerprint", Long.toHexString(exchange.fingerprint()));
             line.writeNumberField("runs", exchange.runs());
-            line.writeNumberField("elapsedMillis", Math.round(exchange.elapsedMillis()));
+            line.writeNumberField("elapsedMillis", Math.round(exchange.timing().elapsedMillis()));
             writePromptParts(line, exchange.promptParts());
             writeResponse(line, tried.responseProgress());
         });
@@ -134,7 +134,10 @@
             writeRequest(line, exchange);
             line.writeStringField("outcome", outcome);
             line.writeNumberField("runs", exchange.runs());
-            line.writeNumberField("elapsedMillis", Math.round(exchange.elapsedMillis()));
+            line.writeNumberField(
+                    "receivingMillis", Math.round(exchange.timing().receivingMillis()));
+            line.writeNumberField("waitingMillis", Math.round(exchange.timing().waitingMillis()));
+            line.writeNumberField("elapsedMillis", Math.round(exchange.timing().elapsedMillis()));
             writeResponse(line, exchange.lastResponse());
         });
     }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/LoopDelayMonitor.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/LoopDelayMonitor.java
@@ -1,4 +1,4 @@
-package org.mangowall.edge.program;
+package org.mangowall.edge.traffic;
 
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
@@ -7,42 +7,54 @@
 import io.netty.util.concurrent.EventExecutor;
 
 /** Measures how late the event loop runs its tasks: the time for which a request that has arrived isn't read. */
-final class LoopDelayMonitor {
+public final class LoopDelayMonitor {
 
     private static final long PROBE_INTERVAL_NANOS = 100_000_000L;
     private static final int PROBES_PER_REPORT = 10;
 
     private final EventExecutor loop;
     private final LongSupplier nanoClock;
-    private final LongConsumer reports;
+    private LongConsumer reports = delay -> {};
+    private boolean isStarted;
+    private long nextProbeAt;
     private long maxDelayNanos;
     private int probes;
 
+    /** Creates a monitor that isn't started. */
+    LoopDelayMonitor(EventExecutor loop, LongSupplier nanoClock) {
+        this.loop = loop;
+        this.nanoClock = nanoClock;
+    }
+
     /**
-     * Creates a monitor that isn't started.
+     * Starts to measure; continues until the loop shuts down.
      *
-     * @param reports gets the longest delay of each second, in nanoseconds
+     * @param newReports gets the longest delay of each second, in nanoseconds
      */
-    LoopDelayMonitor(EventExecutor loop, LongSupplier nanoClock, LongConsumer reports) {
-        this.loop = loop;
-        this.nanoClock = nanoClock;
-        this.reports = reports;
+    public void start(LongConsumer newReports) {
+        reports = newReports;
+        isStarted = true;
+        scheduleProbe();
+    }
+
+    /** How far the loop is behind, in nanoseconds: what is read now may have arrived that long ago. */
+    long currentDelayNanos() {
+        return isStarted ? Math.max(0, nanoClock.getAsLong() - nextProbeAt) : 0;
     }
 
-    /** Starts to measure; continues until the loop shuts down. */
-    void start() {
-        long dueAt = nanoClock.getAsLong() + PROBE_INTERVAL_NANOS;
-        loop.schedule(() -> probed(dueAt), PROBE_INTERVAL_NANOS, TimeUnit.NANOSECONDS);
+    private void scheduleProbe() {
+        nextProbeAt = nanoClock.getAsLong() + PROBE_INTERVAL_NANOS;
+        loop.schedule(this::probe, PROBE_INTERVAL_NANOS, TimeUnit.NANOSECONDS);
     }
 
-    private void probed(long dueAt) {
-        maxDelayNanos = Math.max(maxDelayNanos, nanoClock.getAsLong() - dueAt);
+    private void probe() {
+        maxDelayNanos = Math.max(maxDelayNanos, nanoClock.getAsLong() - nextProbeAt);
         probes += 1;
         if (probes == PROBES_PER_REPORT) {
             reports.accept(maxDelayNanos);
             probes = 0;
             maxDelayNanos = 0;
         }
-        start();
+        scheduleProbe();
     }
 }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerConnections.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerConnections.java
@@ -97,13 +97,19 @@
             pool.endConnecting();
             if (done.isSuccess()) {
                 pool.connected(connection);
-                receiver.accept(new AcquireResult.Ready(connection));
+                context.deferredWork().add(() -> receiver.accept(stateOf(connection)));
             } else {
                 receiver.accept(new AcquireResult.Unreachable(String.valueOf(done.cause())));
             }
         });
     }
 
+    private static AcquireResult stateOf(RunnerConnection connection) {
+        return connection.isOpen()
+                ? new AcquireResult.Ready(connection)
+                : new AcquireResult.Unreachable("the runner closed the connection at once");
+    }
+
     private void sweep() {
         Iterator<RunnerPool> iterator = pools.values().iterator();
         while (iterator.hasNext()) {
--- a/mangowall-edge/src/test/java/org/mangowall/edge/traffic/LoopDelayMonitorTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/traffic/LoopDelayMonitorTest.java
@@ -1,4 +1,4 @@
-package org.mangowall.edge.program;
+package org.mangowall.edge.traffic;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -20,7 +20,7 @@
         channel.freezeTime();
         AtomicLong now = new AtomicLong();
         List<Long> reported = new ArrayList<>();
-        new LoopDelayMonitor(channel.eventLoop(), now::get, reported::add).start();
+        new LoopDelayMonitor(channel.eventLoop(), now::get).start(reported::add);
         for (int probe = 0; probe < 20; probe++) {
             long delayMillis = probe == 4 ? 250 : 0;
             now.addAndGet((100 + delayMillis) * MILLI);
--- a/mangowall-edge/src/test/java/org/mangowall/edge/traffic/PlainMessages.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/traffic/PlainMessages.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import org.mangowall.edge.model.CallerRequest;
@@ -9,7 +10,7 @@
 import org.mangowall.edge.wire.Dispatch;
 import org.mangowall.edge.wire.HttpMessageCodec;
 
-/** Responses without any headers of the platform. */
+/** Requests and responses without any headers of the platform. */
 final class PlainMessages implements HttpMessageCodec {
 
     @Override
@@ -30,12 +31,20 @@
 
     @Override
     public CallerRequest readRequest(HttpRequest head) {
-        throw new UnsupportedOperationException();
+        return new CallerRequest(
+                "request",
+                head.headers().get(HttpHeaderNames.HOST),
+                head.uri(),
+                Optional.empty(),
+                Optional.empty(),
+                Optional.empty(),
+                Optional.empty(),
+                Optional.empty());
     }
 
     @Override
     public HttpRequest requestForRunner(HttpRequest head, Dispatch dispatch) {
-        throw new UnsupportedOperationException();
+        return head;
     }
 
     @Override
