Refuse connections while a host's own link or processor is behind, and measure the delay of its path

Switched on by refuse_when_behind in the settings. DeferredWork: work added in a turn no longer rides on the schedule of work added before; DepartedCallerTest had failed once in two runs (2 of 4 requests placed).

--- a/mangowall-edge/src/main/java/org/mangowall/edge/log/EdgeMetrics.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/log/EdgeMetrics.java
@@ -5,6 +5,7 @@
 import java.io.UncheckedIOException;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -42,6 +43,14 @@
             .help("Calls of the platform's store, by outcome")
             .labelNames("outcome")
             .register(registry);
+    private final Gauge isEntryOpen = Gauge.builder()
+            .name("mangowall_entry_open")
+            .help("Whether the host accepts connections of callers; 0 while it is behind")
+            .register(registry);
+    private final Gauge entryClosedSeconds = Gauge.builder()
+            .name("mangowall_entry_closed_seconds")
+            .help("How long the host has refused connections of callers since its start, because it was behind")
+            .register(registry);
     private final Histogram firstByte = Histogram.builder()
             .name("mangowall_first_byte_seconds")
             .help("Time from a whole request to the first byte of its answer")
@@ -77,6 +86,12 @@
         storeCalls.labelValues(outcome).inc();
     }
 
+    /** Records a change of the entry gate. */
+    public void recordEntryGate(boolean isOpen, double closedSeconds) {
+        isEntryOpen.set(isOpen ? 1 : 0);
+        entryClosedSeconds.set(closedSeconds);
+    }
+
     /** Records the time from a complete request to the first byte of its response. */
     public void observeFirstByte(String route, double seconds) {
         firstByte.labelValues(route).observe(seconds);
--- a/mangowall-edge/src/main/java/org/mangowall/edge/model/RouteTable.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/model/RouteTable.java
@@ -1,5 +1,6 @@
 package org.mangowall.edge.model;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -11,6 +12,7 @@
     private final long version;
     private final Map<String, Map<String, Route>> routesByHost;
     private final Map<String, ServiceDescription> services;
+    private final Duration medianLatencyGoal;
     private final boolean needsKeys;
     private final Map<String, String> workspaceByKey;
     private final CallerLimits limits;
@@ -39,6 +41,8 @@
                     .computeIfAbsent(route.hostName(), name -> new HashMap<>())
                     .put(route.pathPrefix(), route);
         }
+        List<Duration> goals = routes.stream().map(Route::latencyGoal).sorted().toList();
+        this.medianLatencyGoal = goals.isEmpty() ? Duration.ZERO : goals.get(goals.size() / 2);
         this.services = new HashMap<>();
         services.forEach(service -> this.services.put(service.name(), service));
         this.needsKeys = needsKeys;
@@ -76,6 +80,11 @@
         return Optional.ofNullable(workspaceByKey.get(key));
     }
 
+    /** The median of the routes' latency goals; zero if there is no route. */
+    public Duration medianLatencyGoal() {
+        return medianLatencyGoal;
+    }
+
     /** Whether requests on routes that are not open need an API key. */
     public boolean needsKeys() {
         return needsKeys;
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/HostMessage.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/HostMessage.java
@@ -26,8 +26,9 @@
      * Reports of the sender and of hosts whose reports it forwards.
      *
      * @param reports the reports, oldest first
+     * @param sentAt the sender's time of sending, which acknowledgements return; 0 if it states none
      */
-    record Reports(List<HostReport> reports) implements HostMessage {}
+    record Reports(List<HostReport> reports, long sentAt) implements HostMessage {}
 
     /**
      * What a host that has just started can't know: the prompt parts that runners have cached, where recent streams
@@ -46,6 +47,11 @@
      */
     record StoreObjects(ObjectKind kind, long asOf, List<StoredObject> objects) implements HostMessage {}
 
-    /** Acknowledges that messages arrive on the connection. */
-    record Acknowledgement() implements HostMessage {}
+    /**
+     * Acknowledges that messages arrive on the connection.
+     *
+     * @param sentAt the time of sending of the last reports that arrived; 0 if none did
+     * @param heldNanos for how long the acknowledgement was held back since they arrived
+     */
+    record Acknowledgement(long sentAt, long heldNanos) implements HostMessage {}
 }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/OutgoingReports.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/OutgoingReports.java
@@ -24,22 +24,24 @@
     }
 
     /** The reports of one host only, for a peer that receives all other reports from another relay. */
-    HostMessage.Reports ofHost(String name) {
-        return new HostMessage.Reports(forAllPeers.stream()
-                .filter(report -> report.host().equals(name))
-                .toList());
+    HostMessage.Reports ofHost(String name, long now) {
+        return new HostMessage.Reports(
+                forAllPeers.stream()
+                        .filter(report -> report.host().equals(name))
+                        .toList(),
+                now);
     }
 
     /** The reports for a peer that is a relay. */
-    HostMessage.Reports forRelays() {
-        return new HostMessage.Reports(List.copyOf(forAllPeers));
+    HostMessage.Reports forRelays(long now) {
+        return new HostMessage.Reports(List.copyOf(forAllPeers), now);
     }
 
     /** The reports for a peer that is no relay. */
-    HostMessage.Reports forNonRelays() {
+    HostMessage.Reports forNonRelays(long now) {
         List<HostReport> all = new ArrayList<>(forAllPeers);
         all.addAll(fromRelays);
-        return new HostMessage.Reports(all);
+        return new HostMessage.Reports(all, now);
     }
 
     void clear() {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerCodec.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerCodec.java
@@ -96,7 +96,10 @@
                     packEvents(packer, handover.events());
                 }
                 case HostMessage.StoreObjects objects -> packObjects(packer, objects);
-                case HostMessage.Acknowledgement acknowledgement -> packer.packInt(MESSAGE_ACKNOWLEDGEMENT);
+                case HostMessage.Acknowledgement acknowledgement ->
+                    packer.packInt(MESSAGE_ACKNOWLEDGEMENT)
+                            .packLong(acknowledgement.sentAt())
+                            .packLong(acknowledgement.heldNanos());
             }
             return packer.toByteArray();
         } catch (IOException failure) {
@@ -123,6 +126,7 @@
             packer.packBinaryHeader(report.state().length);
             packer.writePayload(report.state());
         }
+        packer.packLong(reports.sentAt());
     }
 
     static byte[] encode(HostState state) {
@@ -269,7 +273,8 @@
                 case MESSAGE_REPORTS -> unpackReports(unpacker);
                 case MESSAGE_HANDOVER -> new HostMessage.Handover(unpackEvents(unpacker));
                 case MESSAGE_STORE_OBJECTS -> unpackObjects(unpacker);
-                case MESSAGE_ACKNOWLEDGEMENT -> new HostMessage.Acknowledgement();
+                case MESSAGE_ACKNOWLEDGEMENT ->
+                    new HostMessage.Acknowledgement(unpackOptionalLong(unpacker), unpackOptionalLong(unpacker));
                 default -> throw new MangowallException(FailureCode.FRAME_INVALID, "unknown peer message type " + type);
             };
         } catch (IOException | MessagePackException | IllegalArgumentException failure) {
@@ -306,7 +311,12 @@
                     unpacker.unpackLong(),
                     unpacker.readPayload(unpacker.unpackBinaryHeader())));
         }
-        return new HostMessage.Reports(reports);
+        return new HostMessage.Reports(reports, unpackOptionalLong(unpacker));
+    }
+
+    /** Decodes a last field that earlier versions of the protocol lack; 0 without it. */
+    private static long unpackOptionalLong(MessageUnpacker unpacker) throws IOException {
+        return unpacker.hasNext() ? unpacker.unpackLong() : 0;
     }
 
     /**
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
@@ -23,6 +23,7 @@
 import org.mangowall.edge.mirror.StoreAvailability;
 import org.mangowall.edge.mirror.StoreMirror;
 import org.mangowall.edge.model.HostRecord;
+import org.mangowall.edge.overload.PathDelay;
 import org.mangowall.edge.traffic.LoadEventPublisher;
 
 /**
@@ -58,7 +59,7 @@
     /** How many peers a starting host asks for the prompt parts cached at runners; one may have just started too. */
     private static final int MAX_HANDOVER_REQUESTS = 2;
 
-    private static final byte[] ACKNOWLEDGEMENT = PeerCodec.encode(new HostMessage.Acknowledgement());
+    private static final HostMessage FIRST_ACKNOWLEDGEMENT = new HostMessage.Acknowledgement(0, 0);
 
     private final HostRecord self;
     private final FleetLoad fleet;
@@ -69,6 +70,7 @@
     private final StoreReaders storeReaders;
     private final Dialer dialer;
     private final Membership membership;
+    private final PathDelay pathDelay = new PathDelay(ACKNOWLEDGE_INTERVAL_NANOS);
     private final OutgoingReports outgoing = new OutgoingReports();
     private final Map<String, PeerState> seeds = new HashMap<>();
     private RelayPlan plan = new RelayPlan(true, List.of());
@@ -202,6 +204,11 @@
         return storeReaders.isReader(membership.alive(now), now);
     }
 
+    /** The delay of this host's own network path, in milliseconds. */
+    public double pathDelayMillis() {
+        return pathDelay.delayMillis(nanoClock.getAsLong());
+    }
+
     void tick() {
         long now = nanoClock.getAsLong();
         if (now - plannedAt >= PLAN_INTERVAL_NANOS) {
@@ -312,7 +319,7 @@
         boolean wantsHandover = handoverRequests < MAX_HANDOVER_REQUESTS;
         handoverRequests += wantsHandover ? 1 : 0;
         outbound.send(new HostMessage.Hello(self, role, wantsHandover, known, PeerCodec.VERSION));
-        outbound.send(new HostMessage.Reports(List.of(reporter.fullReport(now))));
+        outbound.send(new HostMessage.Reports(List.of(reporter.fullReport(now)), now));
     }
 
     private void report(long now) {
@@ -324,7 +331,8 @@
         for (PeerState peer : membership.peers()) {
             if (peer.outbound() != null && peer.outbound().isWritable()) {
                 ReportScope scope = scopeFor(peer);
-                byte[] reports = plain.computeIfAbsent(scope, this::encodeOutgoing);
+                byte[] reports = plain.computeIfAbsent(scope, key -> encodeOutgoing(key, now));
+                pathDelay.sent(peer.host().peerAddress(), now);
                 peer.outbound()
                         .send(
                                 peer.acceptsCompression()
@@ -335,7 +343,7 @@
                 }
             }
             if (acknowledges && peer.inbound() != null && now - peer.lastInboundAt() < HEARTBEAT_INTERVAL_NANOS * 4) {
-                peer.inbound().send(ACKNOWLEDGEMENT);
+                peer.inbound().send(peer.nextAcknowledgement(now));
             }
         }
         outgoing.clear();
@@ -355,12 +363,12 @@
         return peer.role().wantsAllReports() ? ReportScope.FOR_NON_RELAYS : ReportScope.OWN_ONLY;
     }
 
-    private byte[] encodeOutgoing(ReportScope scope) {
+    private byte[] encodeOutgoing(ReportScope scope, long now) {
         return PeerCodec.encode(
                 switch (scope) {
-                    case OWN_ONLY -> outgoing.ofHost(self.name());
-                    case FOR_RELAYS -> outgoing.forRelays();
-                    case FOR_NON_RELAYS -> outgoing.forNonRelays();
+                    case OWN_ONLY -> outgoing.ofHost(self.name(), now);
+                    case FOR_RELAYS -> outgoing.forRelays(now);
+                    case FOR_NON_RELAYS -> outgoing.forNonRelays(now);
                 });
     }
 
@@ -382,7 +390,7 @@
                 handover.events().forEach(event -> fleet.apply(self.name(), event, now));
             case HostMessage.StoreObjects objects ->
                 mirror.applyChanges(objects.kind(), objects.objects(), objects.asOf());
-            case HostMessage.Acknowledgement acknowledgement -> acknowledged(from, now);
+            case HostMessage.Acknowledgement acknowledgement -> acknowledged(from, acknowledgement, now);
         }
     }
 
@@ -397,7 +405,7 @@
         peer.recordInbound(now);
         hello.known().forEach(membership::addDiscovered);
         if (isFirst) {
-            from.send(ACKNOWLEDGEMENT);
+            from.send(FIRST_ACKNOWLEDGEMENT);
         }
     }
 
@@ -408,6 +416,7 @@
             return;
         }
         sender.recordInbound(now);
+        sender.recordReports(reports, now);
         boolean isForwarding = isForwarding();
         for (HostReport report : reports.reports()) {
             boolean isDirect = report.host().equals(sender.host().name());
@@ -428,8 +437,12 @@
                 || membership.peers().stream().anyMatch(peer -> peer.role().wantsAllReports());
     }
 
-    private void acknowledged(PeerChannel from, long now) {
-        peersAndSeeds().filter(peer -> peer.outbound() == from).forEach(peer -> peer.recordAcknowledgement(now));
+    private void acknowledged(PeerChannel from, HostMessage.Acknowledgement acknowledgement, long now) {
+        peersAndSeeds().filter(peer -> peer.outbound() == from).forEach(peer -> {
+            peer.recordAcknowledgement(now);
+            pathDelay.acknowledged(
+                    peer.host().peerAddress(), acknowledgement.sentAt(), acknowledgement.heldNanos(), now);
+        });
     }
 
     private PeerState peerOfInbound(PeerChannel channel) {
@@ -447,7 +460,12 @@
 
     @Override
     public void closed(PeerChannel gone) {
-        peersAndSeeds().forEach(peer -> peer.closed(gone));
+        peersAndSeeds().forEach(peer -> {
+            if (peer.outbound() == gone) {
+                pathDelay.forget(peer.host().peerAddress());
+            }
+            peer.closed(gone);
+        });
     }
 
     @Override
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerState.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerState.java
@@ -38,6 +38,8 @@
     private boolean wantsHandover;
     private long lastHeardAt;
     private long lastInboundAt;
+    private long lastReportsSentAt;
+    private long lastReportsReceivedAt;
     private long acknowledgedAt;
     private long nextDialAt;
     private long dialDelayNanos;
@@ -114,6 +116,16 @@
         lastInboundAt = now;
     }
 
+    /** Records reports on the inbound connection, whose time of sending the next acknowledgement returns. */
+    void recordReports(HostMessage.Reports reports, long now) {
+        lastReportsSentAt = reports.sentAt();
+        lastReportsReceivedAt = now;
+    }
+
+    HostMessage.Acknowledgement nextAcknowledgement(long now) {
+        return new HostMessage.Acknowledgement(lastReportsSentAt, now - lastReportsReceivedAt);
+    }
+
     long lastInboundAt() {
         return lastInboundAt;
     }
--- /dev/null
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/CallerListener.java
@@ -0,0 +1,115 @@
+package org.mangowall.edge.program;
+
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
+import java.util.function.LongSupplier;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import org.mangowall.edge.log.DecisionLog;
+import org.mangowall.edge.log.EdgeMetrics;
+import org.mangowall.edge.log.GuardedTask;
+import org.mangowall.edge.overload.EntryGate;
+
+/** The listening socket for callers; it is closed, so that connections are refused, while the entry gate is. */
+final class CallerListener {
+
+    private static final long CHECK_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    private final ServerBootstrap bootstrap;
+    private final EventLoop loop;
+    private final LongSupplier nanoClock;
+    private final DecisionLog log;
+    private final EdgeMetrics metrics;
+    private final EntryGate gate;
+    private Optional<Channel> channel = Optional.empty();
+    private boolean isEnded;
+
+    /**
+     * Creates a listener that isn't bound.
+     *
+     * @param bootstrap has the address and the handler of the connections
+     */
+    CallerListener(
+            ServerBootstrap bootstrap, EventLoop loop, LongSupplier nanoClock, DecisionLog log, EdgeMetrics metrics) {
+        this.bootstrap = bootstrap;
+        this.loop = loop;
+        this.nanoClock = nanoClock;
+        this.log = log;
+        this.metrics = metrics;
+        this.gate = new EntryGate(nanoClock.getAsLong());
+    }
+
+    /** Binds the socket; the future fails if the address can't be used. */
+    ChannelFuture bind() {
+        ChannelFuture binding = bootstrap.bind();
+        binding.addListener(done -> {
+            if (!done.isSuccess()) {
+                log.write(
+                        "caller-listener-failed",
+                        line -> line.writeStringField("reason", String.valueOf(done.cause())));
+            } else if (isEnded || !gate.isOpen()) {
+                binding.channel().close();
+            } else {
+                channel = Optional.of(binding.channel());
+            }
+        });
+        return binding;
+    }
+
+    /**
+     * Refuses connections from now on while this host is behind.
+     *
+     * @param pathDelayMillis the delay of the host's own network path
+     * @param boundMillis the delay that callers can bear
+     */
+    void startGate(DoubleSupplier pathDelayMillis, DoubleSupplier boundMillis) {
+        long dueAt = nanoClock.getAsLong() + CHECK_INTERVAL_NANOS;
+        loop.schedule(
+                () -> {
+                    new GuardedTask(log, "entry-gate", () -> check(pathDelayMillis, boundMillis, dueAt)).run();
+                    if (!isEnded) {
+                        startGate(pathDelayMillis, boundMillis);
+                    }
+                },
+                CHECK_INTERVAL_NANOS,
+                TimeUnit.NANOSECONDS);
+    }
+
+    private void check(DoubleSupplier pathDelayMillis, DoubleSupplier boundMillis, long dueAt) {
+        long now = nanoClock.getAsLong();
+        double loopDelay = (now - dueAt) / NANOS_PER_MILLI;
+        double pathDelay = pathDelayMillis.getAsDouble();
+        double bound = boundMillis.getAsDouble();
+        if (isEnded || !gate.update(Math.max(loopDelay, pathDelay), bound, now)) {
+            return;
+        }
+        log.write("entry-gate", line -> {
+            line.writeBooleanField("isOpen", gate.isOpen());
+            line.writeNumberField("pathDelayMillis", Math.round(pathDelay));
+            line.writeNumberField("loopDelayMillis", Math.round(loopDelay));
+            line.writeNumberField("boundMillis", Math.round(bound));
+        });
+        metrics.recordEntryGate(gate.isOpen(), gate.closedSeconds());
+        if (gate.isOpen()) {
+            bind();
+        } else {
+            closeSocket();
+        }
+    }
+
+    /** Closes the socket for good. */
+    void end() {
+        isEnded = true;
+        closeSocket();
+    }
+
+    private void closeSocket() {
+        channel.ifPresent(Channel::close);
+        channel = Optional.empty();
+    }
+}
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
@@ -11,6 +11,7 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -57,6 +58,11 @@
     /** Time within which hosts that start together discover each other. */
     private static final long HOST_DISCOVERY_NANOS = 2_000_000_000L;
 
+    /** Fraction of a latency goal that the host's own path may take; the rest is the runners'. */
+    private static final double BEARABLE_GOAL_FRACTION = 0.25;
+    /** Shorter delays of the event loop are ordinary. */
+    private static final double MIN_BEARABLE_DELAY_MILLIS = 100;
+
     private static final long CLOSE_TIMEOUT_MILLIS = 1_000;
     private static final long SHUTDOWN_CHECK_MILLIS = 50;
     /** Part of the grace period that is reserved for the process to exit. */
@@ -70,7 +76,6 @@
     private final EventLoopGroup group = new NioEventLoopGroup(1);
     private final EventLoop loop = group.next();
     private final CountDownLatch stopped = new CountDownLatch(1);
-    private final List<Channel> listeners = new ArrayList<>();
     private final Random random = new Random();
     private final FleetLoad fleet;
     private final StoreMirror mirror;
@@ -81,6 +86,7 @@
     private PeerMesh mesh;
     private EdgeContext context;
     private CallerConnections callers;
+    private CallerListener callerListener;
     private long shutdownStartedAt;
 
     /** Assembles the components without binding any address. */
@@ -107,7 +113,16 @@
     /** Binds all addresses and starts to accept requests; returns immediately. */
     public void start() {
         loop.submit(this::startOnLoop).syncUninterruptibly();
-        bind(settings.callerAddress(), callers);
+        callerListener = new CallerListener(
+                serverBootstrap(callers).localAddress(settings.callerAddress().toSocketAddress()),
+                loop,
+                System::nanoTime,
+                log,
+                metrics);
+        requireBound(callerListener.bind(), settings.callerAddress());
+        if (settings.refusesWhenBehind()) {
+            loop.execute(() -> callerListener.startGate(mesh::pathDelayMillis, this::bearableDelayMillis));
+        }
         bind(settings.peerAddress(), new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
@@ -253,20 +268,33 @@
     }
 
     private void bind(HostAndPort address, ChannelHandler handler) {
-        var bound = new ServerBootstrap()
+        requireBound(serverBootstrap(handler).bind(address.toSocketAddress()), address);
+    }
+
+    private ServerBootstrap serverBootstrap(ChannelHandler handler) {
+        return new ServerBootstrap()
                 .group(group, group)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(handler)
-                .bind(address.toSocketAddress())
-                .awaitUninterruptibly();
-        if (!bound.isSuccess()) {
+                .childHandler(handler);
+    }
+
+    private static void requireBound(ChannelFuture binding, HostAndPort address) {
+        binding.awaitUninterruptibly();
+        if (!binding.isSuccess()) {
             throw new MangowallException(
-                    FailureCode.ADDRESS_UNUSABLE, "the address " + address + " can't be bound", bound.cause());
+                    FailureCode.ADDRESS_UNUSABLE, "the address " + address + " can't be bound", binding.cause());
         }
-        listeners.add(bound.channel());
+    }
+
+    /** The delay on this host's own path that callers can bear, as part of their latency goals. */
+    private double bearableDelayMillis() {
+        double goalMillis = context.table()
+                .map(table -> table.medianLatencyGoal().toMillis())
+                .orElse(0L);
+        return Math.max(MIN_BEARABLE_DELAY_MILLIS, BEARABLE_GOAL_FRACTION * goalMillis);
     }
 
     private boolean isReady() {
@@ -361,7 +389,7 @@
 
     private void rejectNew() {
         context.lifecycle().rejectNew();
-        listeners.getFirst().close();
+        callerListener.end();
         stopWhenIdle();
     }
 
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/EdgeSettings.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/EdgeSettings.java
@@ -14,6 +14,7 @@
  * @param processors its processing capacity, in processors of reference speed
  * @param isFirstStart whether the whole fleet starts for the first time
  * @param callerAddress the address for callers' requests
+ * @param refusesWhenBehind whether connections of callers are refused while this host's link or processor is behind
  * @param directoryAddress the address at which callers query which hosts to use
  * @param readinessAddress the address of the platform's readiness check
  * @param peerAddress the address for connections of other hosts
@@ -31,6 +32,7 @@
         double processors,
         boolean isFirstStart,
         HostAndPort callerAddress,
+        boolean refusesWhenBehind,
         HostAndPort directoryAddress,
         HostAndPort readinessAddress,
         HostAndPort peerAddress,
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/EdgeSettingsReader.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/EdgeSettingsReader.java
@@ -41,6 +41,7 @@
      */
     public static EdgeSettings read(CheckedTable root) {
         CheckedTable host = root.table("host");
+        CheckedTable caller = root.table("caller");
         CheckedTable peer = root.table("peer");
         CheckedTable platform = root.table("platform");
         CheckedTable bounds = root.table("bounds");
@@ -50,7 +51,8 @@
                 host.number("processor_share", MIN_PROCESSOR_SHARE, MAX_PROCESSOR_SHARE, 1)
                         * host.number("processor_speed", MIN_PROCESSOR_SHARE, MAX_PROCESSOR_SPEED, 1),
                 host.flag("first_start", false),
-                root.table("caller").address("address"),
+                caller.address("address"),
+                caller.flag("refuse_when_behind", false),
                 root.table("directory").address("address"),
                 root.table("readiness").address("address"),
                 peer.address("address"),
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/DeferredWork.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/DeferredWork.java
@@ -23,6 +23,9 @@
     private final EventLoop loop;
     private final LongSupplier nanoClock;
     private final Deque<Runnable> waiting = new ArrayDeque<>();
+    /** How much of the waiting work was added before the turn that has begun. */
+    private int readyCount;
+
     private boolean isScheduled;
 
     DeferredWork(EventLoop loop, LongSupplier nanoClock) {
@@ -41,17 +44,18 @@
 
     /** Scheduled from a task of this turn, even a task without delay runs in the next turn, after its reads. */
     private void afterThisTurn() {
+        readyCount = waiting.size();
         loop.schedule(this::run, 0, TimeUnit.NANOSECONDS);
     }
 
     private void run() {
-        isScheduled = false;
         long startedAt = nanoClock.getAsLong();
-        while (!waiting.isEmpty() && nanoClock.getAsLong() - startedAt < MAX_TURN_NANOS) {
+        while (readyCount > 0 && nanoClock.getAsLong() - startedAt < MAX_TURN_NANOS) {
+            readyCount -= 1;
             waiting.pollFirst().run();
         }
-        if (!waiting.isEmpty() && !isScheduled) {
-            isScheduled = true;
+        isScheduled = !waiting.isEmpty();
+        if (isScheduled) {
             afterThisTurn();
         }
     }
--- /dev/null
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/overload/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the behaviour of a host whose own link or processor can't keep up. */
+package org.mangowall.edge.overload;
--- a/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerCodecTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerCodecTest.java
@@ -37,7 +37,7 @@
 
     @Test
     void messagesRoundTrip() {
-        assertRoundTrip(new HostMessage.Acknowledgement());
+        assertRoundTrip(new HostMessage.Acknowledgement(12, 34));
         assertRoundTrip(new HostMessage.Hello(HOST, new LinkRole(true, false, true), false, List.of(HOST, HOST), 3));
         assertRoundTrip(new HostMessage.Handover(List.of(new LoadEvent.PartsCached("r", PARTS))));
     }
@@ -46,7 +46,7 @@
     void reportsRoundTrip() {
         HostReport report = new HostReport("h", 7, 8, new byte[] {1, 2, 3});
         HostMessage.Reports decoded = (HostMessage.Reports)
-                PeerCodec.decode(PeerCodec.encode(new HostMessage.Reports(List.of(report, report))));
+                PeerCodec.decode(PeerCodec.encode(new HostMessage.Reports(List.of(report, report), 7)));
         assertEquals(2, decoded.reports().size());
         HostReport last = decoded.reports().getLast();
         assertEquals("h", last.host());
@@ -143,7 +143,7 @@
             plainBytes += encoded.length;
             reports.add(new HostReport("edge-qc-est-a-" + host, 1_777_867_589_564L, 7, encoded));
         }
-        byte[] message = PeerCodec.compress(PeerCodec.encode(new HostMessage.Reports(reports)));
+        byte[] message = PeerCodec.compress(PeerCodec.encode(new HostMessage.Reports(reports, 7)));
         assertTrue(message.length * 2 < plainBytes, message.length + " of " + plainBytes + " bytes");
         HostMessage.Reports decoded = (HostMessage.Reports) PeerCodec.decode(message);
         assertEquals(40, decoded.reports().size());
@@ -164,7 +164,7 @@
 
     private static byte[] compressedReport(int stateBytes) {
         HostReport report = new HostReport("h", 7, 8, new byte[stateBytes]);
-        return PeerCodec.compress(PeerCodec.encode(new HostMessage.Reports(List.of(report))));
+        return PeerCodec.compress(PeerCodec.encode(new HostMessage.Reports(List.of(report), 7)));
     }
 
     /** A host of the version before states no version at the end of its hello. */
