Read long prompts apart from running streams, and cut no silent stream that nobody can take over

An engine reads prompts in chunks beside its streams, and a twelfth of the prompts take 0.35 to 1.2 s to read. Change: PromptReaders chooses the runners that read long prompts, MoveTarget where a run goes on after its first event; RunMove asks the engine to stop and copy the run, MovedRun sends the rest there with the copy's handle and the last event. The engine counts both as one run. Only where engines move runs and routes have a pause goal. docs/design/prompt-reading.md says what happens when a step fails; each case is a test of MovedRunTest, PromptReadersTest replays the load. Cause: a silent run was cancelled before it was known whether another runner takes it over, and the placement of the rest was rejected like a new request. Now the run is cancelled once a runner was chosen, and the rest of a response that has begun isn't rejected for its predicted latency (StalledStreamTest, its new case fails before). RequestResolver is split off Exchange.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
@@ -61,7 +61,7 @@
     public void installTable(RouteTable newTable) {
         table = newTable;
         tokensPerSecond = table.tokensPerSecond();
-        services.forEach((name, state) -> table.service(name).ifPresent(state::describe));
+        services.forEach(this::describe);
         List<RunnerEntry> outdated = new ArrayList<>();
         for (RunnerState runner : runners.values()) {
             if (!runner.hasCacheSizeFor(engineOf(runner.entry().service()))) {
@@ -81,11 +81,15 @@
     ServiceState service(String name) {
         ServiceState state = services.computeIfAbsent(name, unknown -> new ServiceState());
         if (state.description().isEmpty() && table != null) {
-            table.service(name).ifPresent(state::describe);
+            describe(name, state);
         }
         return state;
     }
 
+    private void describe(String name, ServiceState state) {
+        table.service(name).ifPresent(description -> state.describe(description, table.shortestGapGoal(name)));
+    }
+
     /** Adds a runner or updates its entry; a new incarnation of the same runner replaces the old state. */
     public void installRunner(RunnerEntry entry, long now) {
         RunnerState known = runners.get(entry.identifier());
@@ -248,6 +252,10 @@
                     begin(inFlight, new InFlightRequest(sent, runner, now));
                     runner.coldStartLimiter().recordSent(hosts.size(), coldRate(runner), now);
                     runner.rateLimiter().recordSent(now);
+                    ServiceState service = service(runner.entry().service());
+                    service.promptReaders()
+                            .recordSent(
+                                    sent.prefillTokens(), service.firstToken().millisPerToken(), now);
                 }
             }
             case LoadEvent.ResponseStarted started -> {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/Placement.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/Placement.java
@@ -6,6 +6,7 @@
 import org.mangowall.edge.model.EngineTraits;
 import org.mangowall.edge.model.PromptDescription;
 import org.mangowall.edge.model.PromptPart;
+import org.mangowall.edge.model.RunnerEntry;
 import org.mangowall.kernel.failure.FailureCode;
 
 /**
@@ -20,8 +21,8 @@
 
     /** Cost of processing a token that another runner has cached. */
     private static final double RECOMPUTE_MILLIS_PER_TOKEN = 0.1;
-    /** Fraction of that cost that counts when no runner is predicted to respond in time otherwise. */
-    private static final double URGENT_RECOMPUTE_FRACTION = 0.2;
+    /** Fraction of the costs to others that counts when no runner is predicted to respond in time otherwise. */
+    private static final double URGENT_COST_FRACTION = 0.2;
     /** Time to fetch the key-value cache of a token from another runner. */
     private static final double FETCH_MILLIS_PER_TOKEN = 0.006;
     /** Shorter prefixes are processed faster than fetched. */
@@ -48,6 +49,7 @@
 
     private final FleetLoad fleet;
     private final AdmissionControl admissionControl;
+    private final MoveTarget moveTarget;
 
     /**
      * Creates a placement over the state of the fleet.
@@ -57,6 +59,7 @@
     public Placement(FleetLoad fleet, long shareWindowNanos) {
         this.fleet = fleet;
         this.admissionControl = new AdmissionControl(fleet, shareWindowNanos);
+        this.moveTarget = new MoveTarget(fleet);
     }
 
     /** Chooses a runner for a request or rejects it. */
@@ -89,7 +92,7 @@
         Admission admission = admissionControl.admissionOf(request, best.prefillTokens(), now);
         double allowed = admission.allowedMillis();
         Candidate chosen = best.predictedMillis() <= allowed ? best : bestWhenUrgent;
-        if (chosen.predictedMillis() > allowed && !hasSpareCapacity(service, chosen)) {
+        if (chosen.predictedMillis() > allowed && !request.isContinuation() && !hasSpareCapacity(service, chosen)) {
             return admissionControl.reject(chosen.predictedMillis(), admission);
         }
         return new PlacementDecision.Send(
@@ -98,10 +101,22 @@
                 chosen.prefillTokens(),
                 chosen.waitedTokens(),
                 chosen.predictedMillis(),
+                isReadApart(service, chosen, now),
                 chosen.runner().loadEstimate().pace(now),
                 admission);
     }
 
+    /** Chooses the runner for the rest of a run whose prompt was read apart; empty if it should stay where it is. */
+    public Optional<RunnerEntry> moveTarget(RunnerEntry source, PromptDescription prompt, long now) {
+        return moveTarget.choose(source, prompt, now);
+    }
+
+    private static boolean isReadApart(ServiceState service, Candidate chosen, long now) {
+        return service.promptReaders()
+                        .isLong(chosen.prefillTokens(), service.firstToken().millisPerToken())
+                && service.promptReaders().isReader(chosen.runner(), service.runners(), now);
+    }
+
     /** Whether less than half of the slots are in use and no prompt is pending; such a runner takes every request. */
     private static boolean hasSpareCapacity(ServiceState service, Candidate candidate) {
         RunnerState runner = candidate.runner();
@@ -229,8 +244,9 @@
                 + slotWaitMillis(service, runner, now)
                 + (isFetching ? FETCH_MILLIS_PER_TOKEN * fetched : 0);
         double recomputeMillis = RECOMPUTE_MILLIS_PER_TOKEN * Math.max(0, cachedPrompt.cachedTokens() - available);
-        double urgent = predicted + URGENT_RECOMPUTE_FRACTION * recomputeMillis;
-        double score = predicted + recomputeMillis + penalty;
+        double apart = apartMillis(service, runner, remaining, now);
+        double urgent = predicted + URGENT_COST_FRACTION * (recomputeMillis + apart);
+        double score = predicted + recomputeMillis + penalty + apart;
         return new Candidate(
                 runner,
                 isFetching ? cachedPrompt.holder() : Optional.empty(),
@@ -241,6 +257,13 @@
                 score);
     }
 
+    /** The cost of reading a long prompt among streams, or of running a stream where long prompts are read. */
+    private static double apartMillis(ServiceState service, RunnerState runner, int unreadTokens, long now) {
+        PromptReaders readers = service.promptReaders();
+        boolean isLong = readers.isLong(unreadTokens, service.firstToken().millisPerToken());
+        return isLong == readers.isReader(runner, service.runners(), now) ? 0 : readers.pauseGoalMillis();
+    }
+
     private static double slotWaitMillis(ServiceState service, RunnerState runner, long now) {
         int slots = Math.max(1, runner.entry().slots());
         double ahead = runner.loadEstimate().requests(runner.running(), now) + 1 - slots;
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/PlacementDecision.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/PlacementDecision.java
@@ -16,6 +16,7 @@
      * @param prefillTokens how many prompt tokens it must process itself
      * @param waitedTokens tokens that it processes before the first output token, including requests ahead
      * @param predictedMillis predicted time to the first part of the response
+     * @param isReadApart whether the run should move on from the runner when it has read the prompt
      * @param pace how long work is estimated to take on the runner's machine, relative to the usual time
      * @param admission why the request is admitted
      */
@@ -25,9 +26,16 @@
             int prefillTokens,
             long waitedTokens,
             double predictedMillis,
+            boolean isReadApart,
             double pace,
             Admission admission)
-            implements PlacementDecision {}
+            implements PlacementDecision {
+
+        /** The rest of a run that goes on with a copy of its memory. */
+        public static Send ofRest(RunnerEntry runner) {
+            return new Send(runner, Optional.empty(), 0, 0, 0, false, 1, Admission.NONE);
+        }
+    }
 
     /**
      * The request is rejected without having run.
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/PlacementRequest.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/PlacementRequest.java
@@ -21,6 +21,7 @@
  * @param excluded identifiers of runners that must not be used
  * @param elapsedMillis time since the request arrived
  * @param remainingMillis time until the caller's timeout
+ * @param isContinuation whether part of the response has reached the caller, so that a rejection would cut it
  * @param draw a uniform random number from 0 to 1 for this decision
  */
 public record PlacementRequest(
@@ -34,4 +35,5 @@
         Set<String> excluded,
         double elapsedMillis,
         double remainingMillis,
+        boolean isContinuation,
         double draw) {}
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/ServiceState.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/ServiceState.java
@@ -1,5 +1,6 @@
 package org.mangowall.edge.decision;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -21,16 +22,20 @@
 
     private final DecayingFailureRatio failures = new DecayingFailureRatio(FAILURE_HALF_LIFE_NANOS);
     private final FirstTokenModel firstToken = new FirstTokenModel(PRIOR_MILLIS_PER_TOKEN);
+    private final PromptReaders promptReaders = new PromptReaders();
     private final List<RunnerState> runners = new ArrayList<>();
     private final SoftwareVersions softwareVersions = new SoftwareVersions();
     private Optional<ServiceDescription> description = Optional.empty();
     private double meanMillis;
 
-    void describe(ServiceDescription newDescription) {
+    void describe(ServiceDescription newDescription, Optional<Duration> gapGoal) {
         if (description.isEmpty()) {
             meanMillis = newDescription.engine().isPresent() ? INITIAL_STREAM_MILLIS : INITIAL_PLAIN_MILLIS;
         }
         description = Optional.of(newDescription);
+        boolean movesRuns = newDescription.engine().map(EngineTraits::movesRuns).orElse(false);
+        promptReaders.setPauseGoalMillis(
+                movesRuns ? gapGoal.map(Duration::toMillis).orElse(0L) : 0);
     }
 
     Optional<ServiceDescription> description() {
@@ -45,6 +50,10 @@
         return description.map(ServiceDescription::coldRequestsPerSecond).orElse(0.0);
     }
 
+    PromptReaders promptReaders() {
+        return promptReaders;
+    }
+
     List<RunnerState> runners() {
         return runners;
     }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/log/EdgeMetrics.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/log/EdgeMetrics.java
@@ -38,6 +38,11 @@
             .help("Streams that runners ended, by what delimits them and whether they ended inside an event")
             .labelNames("service", "framing", "inside_event")
             .register(registry);
+    private final Counter moves = Counter.builder()
+            .name("mangowall_run_moves_total")
+            .help("Runs that went on with a copy of their memory, by service; those that stayed had no room elsewhere")
+            .labelNames("service", "stayed")
+            .register(registry);
     private final Counter storeCalls = Counter.builder()
             .name("mangowall_store_calls_total")
             .help("Calls of the platform's store, by outcome")
@@ -69,6 +74,11 @@
         sends.labelValues(service, Boolean.toString(isRetry)).inc();
     }
 
+    /** Counts a run that goes on with a copy of its memory, at another runner or where it stopped. */
+    public void countMove(String service, boolean isAtSource) {
+        moves.labelValues(service, Boolean.toString(isAtSource)).inc();
+    }
+
     /** Counts a request that a runner rejected, failed, aborted or did not respond to. */
     public void countRunnerFailure(String service, String failure) {
         runnerFailures.labelValues(service, failure).inc();
--- a/mangowall-edge/src/main/java/org/mangowall/edge/model/RouteTable.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/model/RouteTable.java
@@ -85,6 +85,16 @@
         return medianLatencyGoal;
     }
 
+    /** The shortest pause goal of the streaming routes to a service; empty if none has one. */
+    public Optional<Duration> shortestGapGoal(String service) {
+        return routesByHost.values().stream()
+                .flatMap(routes -> routes.values().stream())
+                .filter(route -> route.kind().isStream() && route.leadsTo(service))
+                .map(Route::gapGoal)
+                .filter(Duration::isPositive)
+                .min(Duration::compareTo);
+    }
+
     /** Whether requests on routes that are not open need an API key. */
     public boolean needsKeys() {
         return needsKeys;
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/JvmWarmUp.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/JvmWarmUp.java
@@ -66,7 +66,7 @@
     private static final Duration TIMEOUT = Duration.ofSeconds(10);
     private static final EdgeBounds BOUNDS =
             new EdgeBounds(1, 1, TimeUnit.SECONDS.toNanos(1), TimeUnit.SECONDS.toNanos(1));
-    private static final EngineTraits ENGINE = new EngineTraits(SLOTS, 1_000_000, 1, 1);
+    private static final EngineTraits ENGINE = new EngineTraits(SLOTS, 1_000_000, 1, 1, false);
 
     private final HttpMessageCodec messages;
     private final AtomicInteger servedCount = new AtomicInteger();
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/EventSplitter.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/EventSplitter.java
@@ -18,6 +18,7 @@
 
     private final ByteBuf pending = Unpooled.buffer();
     private Optional<String> lastEventIdentifier = Optional.empty();
+    private long eventCount;
 
     /** Adds bytes of the stream and returns the complete events; the caller releases both buffers. */
     ByteBuf append(ByteBuf bytes) {
@@ -52,6 +53,11 @@
         return lastEventIdentifier;
     }
 
+    /** The number of complete events that have an identifier. */
+    long eventCount() {
+        return eventCount;
+    }
+
     private int endOfLastEvent() {
         for (int index = pending.writerIndex() - 1; index > pending.readerIndex(); index--) {
             if (isBlankLineAt(index)) {
@@ -80,6 +86,8 @@
         if (text.indexOf('\r') >= 0) {
             text = text.replace("\r\n", "\n").replace('\r', '\n');
         }
+        eventCount +=
+                text.lines().filter(line -> line.startsWith(IDENTIFIER_FIELD)).count();
         int field = text.startsWith(IDENTIFIER_FIELD) ? 0 : -1;
         int later = text.lastIndexOf("\n" + IDENTIFIER_FIELD);
         int start = later >= 0 ? later + 1 : field;
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
@@ -22,11 +22,9 @@
 import org.mangowall.edge.model.PromptPart;
 import org.mangowall.edge.model.RequestKind;
 import org.mangowall.edge.model.Route;
-import org.mangowall.edge.model.RouteTable;
 import org.mangowall.edge.model.RunnerResponse;
 import org.mangowall.edge.wire.Dispatch;
 import org.mangowall.kernel.failure.FailureCode;
-import org.mangowall.kernel.failure.MangowallException;
 
 /**
  * One caller request, from the arrival of its last byte to the last byte of its response.
@@ -41,10 +39,6 @@
     private static final int MAX_OFFERS = 4;
     /** Minimum time left to start another attempt: no runner responds faster. */
     private static final double MIN_REMAINING_MILLIS = 20;
-    /** Retry-After while the host has no configuration yet. */
-    private static final double NOT_READY_RETRY_AFTER_MILLIS = 500;
-    /** Retry-After while the host shuts down; other hosts have taken over by then. */
-    private static final double LEAVING_RETRY_AFTER_MILLIS = 50;
     /** Retry-After for a stream whose origin this host doesn't know: reports of other hosts arrive by then. */
     private static final double UNKNOWN_ORIGIN_RETRY_AFTER_MILLIS = 500;
     /** Retry-After once all runners tried rejected the request: one of them may have capacity again by then. */
@@ -57,6 +51,7 @@
     private final ByteBuf body;
     private final RequestTiming timing;
     private final ExchangeLog log;
+    private final MovedRun movedRun;
     private final Set<String> excludedRunners = new HashSet<>();
     private CallerRequest request;
     private Route route;
@@ -91,6 +86,7 @@
         this.body = body;
         this.timing = new RequestTiming(context::now, arrivedAt);
         this.log = new ExchangeLog(context);
+        this.movedRun = new MovedRun(context, this, runners);
     }
 
     /** Resolves the route and the workspace, and places the request on a runner, unless the caller has left. */
@@ -101,9 +97,9 @@
         timing.start();
         boolean isKeepAlive = HttpUtil.isKeepAlive(head) && !context.lifecycle().isLeaving();
         writer = new ResponseWriter(caller.channel(), head.method(), head.protocolVersion(), isKeepAlive);
-        Optional<FailureCode> failure = admit();
+        Optional<FailureCode> failure = resolve();
         if (failure.isPresent()) {
-            reject(failure.get(), retryAfterMillisFor(failure.get()));
+            reject(failure.get(), RequestResolver.retryAfterMillis(failure.get()));
             return;
         }
         double timeout = route.timeout().toMillis();
@@ -126,41 +122,23 @@
         place();
     }
 
-    private static double retryAfterMillisFor(FailureCode code) {
-        return switch (code) {
-            case NOT_READY -> NOT_READY_RETRY_AFTER_MILLIS;
-            case ROUTER_LEAVING -> LEAVING_RETRY_AFTER_MILLIS;
-            default -> 0;
-        };
+    private Optional<FailureCode> resolve() {
+        RequestResolver.Resolution resolution = new RequestResolver(context).resolve(head);
+        request = resolution.request().orElse(null);
+        route = resolution.route().orElse(null);
+        workspace = resolution.workspace();
+        return resolution.failure();
     }
 
-    private Optional<FailureCode> admit() {
-        Optional<RouteTable> table = context.table();
-        try {
-            request = context.messages().readRequest(head);
-        } catch (MangowallException malformed) {
-            return Optional.of(malformed.failureCode());
-        }
-        if (table.isEmpty()) {
-            return Optional.of(FailureCode.NOT_READY);
-        }
-        if (context.lifecycle().isRejecting()) {
-            return Optional.of(FailureCode.ROUTER_LEAVING);
-        }
-        Optional<Route> found = table.get().find(request.hostName(), request.path());
-        if (found.isEmpty()) {
-            return Optional.of(FailureCode.PATH_UNKNOWN);
-        }
-        route = found.get();
-        if (route.isOpen() || !table.get().needsKeys()) {
-            return Optional.empty();
+    private void place() {
+        offers += 1;
+        switch (decidePlacement()) {
+            case PlacementDecision.Reject rejection -> placementRejected(rejection);
+            case PlacementDecision.Send send -> send(send);
         }
-        workspace = request.key().flatMap(table.get()::workspaceOf);
-        return workspace.isEmpty() ? Optional.of(FailureCode.NOT_AUTHENTICATED) : Optional.empty();
     }
 
-    private void place() {
-        offers += 1;
+    private PlacementDecision decidePlacement() {
         PlacementRequest placementRequest = new PlacementRequest(
                 route,
                 service,
@@ -172,11 +150,9 @@
                 excludedRunners,
                 timing.elapsedMillis(),
                 timing.remainingMillis(),
+                writer.hasStarted(),
                 context.nextRandom());
-        switch (context.placement().decide(placementRequest, context.now())) {
-            case PlacementDecision.Reject rejection -> placementRejected(rejection);
-            case PlacementDecision.Send send -> send(send);
-        }
+        return context.placement().decide(placementRequest, context.now());
     }
 
     private void placementRejected(PlacementDecision.Reject rejection) {
@@ -199,7 +175,7 @@
 
     private void send(PlacementDecision.Send decision) {
         long attemptNumber = context.nextAttemptNumber();
-        attempt = new RunnerAttempt(context, this, decision, attemptNumber);
+        attempt = new RunnerAttempt(context, this, decision, attemptNumber, Optional.empty());
         Optional<PromptDescription> prompt = request.prompt();
         context.publish(new LoadEvent.Sent(
                 attemptNumber,
@@ -220,7 +196,8 @@
 
     /** Returns the request head to send to the runner of an attempt, and counts the run. */
     HttpRequest requestHeadFor(RunnerAttempt newAttempt) {
-        runs += 1;
+        // The rest of a run that was moved counts as the same run.
+        runs += newAttempt.copy().isPresent() ? 0 : 1;
         lastSent = newAttempt;
         Dispatch dispatch = new Dispatch(
                 request,
@@ -228,6 +205,7 @@
                 workspace,
                 Duration.ofNanos((long) (timing.remainingMillis() * NANOS_PER_MILLI)),
                 newAttempt.decision().cacheHolder().map(holder -> holder.address()),
+                newAttempt.copy(),
                 stream.lastEvent());
         return context.messages().requestForRunner(head, dispatch);
     }
@@ -293,16 +271,43 @@
         return timing;
     }
 
+    /** The moves of the run to other runners. */
+    MovedRun movedRun() {
+        return movedRun;
+    }
+
+    /** An attempt ended because its run goes on in another one. */
+    void replaceAttempt(RunnerAttempt next) {
+        attempt = next;
+    }
+
+    boolean isFinished() {
+        return isFinished;
+    }
+
+    Optional<PromptDescription> prompt() {
+        return request.prompt();
+    }
+
     /** No connection was available, so the request has not reached the runner. */
     void notReached(RunnerAttempt tried, String reason) {
         attempt = null;
         log.attemptFailed(this, "not-reached", tried, reason);
+        if (tried.copy().isPresent()) {
+            movedRun.restNotRun(tried, tried.copy().get());
+            return;
+        }
         offerElsewhere(tried, true);
     }
 
     /** The runner reports that it has not run the request. */
     void notRun(RunnerAttempt tried, RunnerResponse response) {
         attempt = null;
+        if (tried.copy().isPresent()) {
+            log.attemptFailed(this, "not-run", tried, "status " + response.status());
+            movedRun.restNotRun(tried, tried.copy().get());
+            return;
+        }
         runs -= 1;
         if (response.isMisdirected()) {
             context.markUnreachable(tried.runner().identifier());
@@ -312,8 +317,7 @@
         }
         context.metrics().countRunnerFailure(service, "not-run");
         log.attemptFailed(this, "not-run", tried, "status " + response.status());
-        offerElsewhere(
-                tried, context.retryBudget(service).tryTake(context.fleet().hostCount(), context.now()));
+        offerElsewhere(tried, mayRepeat());
     }
 
     private void offerElsewhere(RunnerAttempt tried, boolean mayOffer) {
@@ -342,13 +346,20 @@
         log.runnerLeaves(this, source);
     }
 
-    /** The runner has sent nothing for longer than its stall timeout. */
+    /** The runner has sent nothing for longer than its stall timeout; its run ends only if another one takes over. */
     void attemptStalled(RunnerAttempt tried) {
         log.attemptFailed(this, "silent", tried, "no data received for " + Math.round(tried.elapsedMillis()) + " ms");
-        if (canContinue()) {
-            tried.cancel();
-            attempt = null;
-            retry(tried);
+        if (!canContinue()) {
+            return;
+        }
+        excludedRunners.add(tried.runner().identifier());
+        switch (decidePlacement()) {
+            case PlacementDecision.Reject rejection -> log.placementRejected(this, rejection);
+            case PlacementDecision.Send send -> {
+                tried.cancel();
+                offers += 1;
+                send(send);
+            }
         }
     }
 
@@ -370,9 +381,12 @@
     }
 
     private boolean canRetry() {
-        return runs < route.maxRunners()
-                && timing.remainingMillis() > MIN_REMAINING_MILLIS
-                && context.retryBudget(service).tryTake(context.fleet().hostCount(), context.now());
+        return runs < route.maxRunners() && timing.remainingMillis() > MIN_REMAINING_MILLIS && mayRepeat();
+    }
+
+    /** Takes a request beyond the first one from the budget that all hosts share. */
+    boolean mayRepeat() {
+        return context.retryBudget(service).tryTake(context.fleet().hostCount(), context.now());
     }
 
     private void retry(RunnerAttempt tried) {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/ExchangeLog.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/ExchangeLog.java
@@ -9,6 +9,7 @@
 import org.mangowall.edge.decision.PlacementDecision;
 import org.mangowall.edge.model.PromptPart;
 import org.mangowall.edge.model.RouteTable;
+import org.mangowall.edge.model.RunnerEntry;
 import org.mangowall.kernel.failure.FailureCode;
 
 /** Writes the log events of a request; {@code docs/OPERATIONS.md} lists them. */
@@ -55,6 +56,7 @@
             writeAdmission(line, exchange, decision.admission());
             line.writeNumberField("unreadTokens", decision.prefillTokens());
             line.writeNumberField("waitedTokens", decision.waitedTokens());
+            line.writeBooleanField("isReadApart", decision.isReadApart());
             line.writeNumberField("configuration", configurationVersion());
             line.writeNumberField("offers", exchange.offers());
         });
@@ -101,6 +103,16 @@
         });
     }
 
+    void moved(Exchange exchange, RunnerAttempt source, RunnerEntry target) {
+        context.log().write("moved", line -> {
+            writeRequest(line, exchange);
+            line.writeStringField("from", source.runner().identifier());
+            line.writeStringField("runner", target.identifier());
+            line.writeNumberField("elapsedMillis", Math.round(exchange.timing().elapsedMillis()));
+            writeResponse(line, source.responseProgress());
+        });
+    }
+
     void rateLimitChanged(Exchange exchange, RunnerAttempt source, Optional<Double> stated) {
         context.log().write("rate-limit", line -> {
             writeRequest(line, exchange);
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerAttempt.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerAttempt.java
@@ -12,8 +12,10 @@
 import org.mangowall.edge.decision.LoadEvent;
 import org.mangowall.edge.decision.PlacementDecision;
 import org.mangowall.edge.decision.RunOutcome;
+import org.mangowall.edge.model.RunCopy;
 import org.mangowall.edge.model.RunnerEntry;
 import org.mangowall.edge.model.RunnerResponse;
+import org.mangowall.edge.wire.MoveResponse;
 
 /** One attempt to run a request on a runner. */
 final class RunnerAttempt implements RunnerResponseListener {
@@ -33,6 +35,7 @@
     private final PlacementDecision.Send decision;
     private final long attemptNumber;
     private final long startedAt;
+    private final Optional<RunCopy> copy;
     private RunnerConnection connection;
     private HttpResponse head;
     private ByteBuf buffered = Unpooled.EMPTY_BUFFER;
@@ -44,13 +47,28 @@
     private boolean isStreaming;
     private boolean hasReceivedBody;
     private long bodyBytes;
-
-    RunnerAttempt(EdgeContext context, Exchange exchange, PlacementDecision.Send decision, long attemptNumber) {
+    private boolean isMoveConsidered;
+    private Optional<RunMove> move = Optional.empty();
+    private Optional<MoveResponse> moveResponse = Optional.empty();
+    private Optional<String> endedWhileMoving = Optional.empty();
+
+    /**
+     * Creates an attempt that isn't sent.
+     *
+     * @param copy the copy of the run's memory with which the run goes on; empty for one that begins
+     */
+    RunnerAttempt(
+            EdgeContext context,
+            Exchange exchange,
+            PlacementDecision.Send decision,
+            long attemptNumber,
+            Optional<RunCopy> copy) {
         this.context = context;
         this.exchange = exchange;
         this.decision = decision;
         this.attemptNumber = attemptNumber;
         this.startedAt = context.now();
+        this.copy = copy;
     }
 
     RunnerEntry runner() {
@@ -61,8 +79,8 @@
         return decision;
     }
 
-    boolean wasSent() {
-        return connection != null;
+    Optional<RunCopy> copy() {
+        return copy;
     }
 
     /** Sends the request, unless it ended meanwhile or the runner no longer accepts work. */
@@ -113,6 +131,11 @@
         if (isFinished) {
             return;
         }
+        if (moveResponse.flatMap(MoveResponse::copy).isPresent()) {
+            connection.cancel();
+            connectionLost("the stream of a run that was moved did not end");
+            return;
+        }
         context.fleet().recordResponse(runner().identifier(), true, context.now());
         context.metrics().countRunnerFailure(runner().service(), "silent");
         exchange.attemptStalled(this);
@@ -261,7 +284,43 @@
             restartStallTimer(StallTimeouts.betweenPartsMillis(exchange.route()));
             splitter.lastEventIdentifier().ifPresent(exchange.stream()::recordLastEvent);
             exchange.forward(this, head, events);
+            considerMove();
+        }
+    }
+
+    /** Moves the run on after its first event, unless only the end of the connection would delimit its response. */
+    private void considerMove() {
+        if (!decision.isReadApart() || isMoveConsidered || framing() == ResponseFraming.CONNECTION_END) {
+            return;
         }
+        isMoveConsidered = true;
+        move = exchange.movedRun().start(this);
+    }
+
+    /** The runner responded to the request to move the run, or didn't in time. */
+    void moveAnswered(MoveResponse response) {
+        moveResponse = Optional.of(response);
+        if (isFinished) {
+            response.copy().ifPresent(unused -> exchange.movedRun().release(runner(), unused));
+            return;
+        }
+        if (endedWhileMoving.isEmpty()) {
+            return;
+        }
+        if (response.copy().isPresent()) {
+            goOnWithCopy(response, response.copy().get());
+        } else {
+            connectionLost(endedWhileMoving.get());
+        }
+    }
+
+    private void goOnWithCopy(MoveResponse response, RunCopy made) {
+        if (response.events() >= 0 && response.events() != splitter.eventCount()) {
+            lost("the runner made " + response.events() + " events, " + splitter.eventCount() + " arrived");
+            return;
+        }
+        finish(RunOutcome.OTHER);
+        exchange.movedRun().moved(this, response.isCopied() ? move.orElseThrow().target() : runner(), made);
     }
 
     private void bufferPart(ByteBuf bytes) {
@@ -340,6 +399,19 @@
         if (isFinished) {
             return;
         }
+        if (move.isPresent() && moveResponse.isEmpty()) {
+            endedWhileMoving = Optional.of(reason);
+            return;
+        }
+        Optional<RunCopy> made = moveResponse.flatMap(MoveResponse::copy);
+        if (made.isPresent()) {
+            goOnWithCopy(moveResponse.get(), made.get());
+            return;
+        }
+        lost(reason);
+    }
+
+    private void lost(String reason) {
         context.fleet().recordResponse(runner().identifier(), true, context.now());
         context.metrics().countRunnerFailure(runner().service(), "lost");
         finish(RunOutcome.LOST);
--- a/mangowall-edge/src/main/java/org/mangowall/edge/wire/Dispatch.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/wire/Dispatch.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 
 import org.mangowall.edge.model.CallerRequest;
+import org.mangowall.edge.model.RunCopy;
 import org.mangowall.edge.model.RunnerEntry;
 
 /**
@@ -15,6 +16,7 @@
  * @param workspace the workspace that the request belongs to; empty on routes that need no API key
  * @param remainingTime the time within which the runner must finish
  * @param cacheHolder a runner from which the key-value cache of the prompt can be fetched
+ * @param copy a copy of the run's memory, with which the run goes on
  * @param lastEvent the identifier of the event after which an interrupted stream resumes
  */
 public record Dispatch(
@@ -23,4 +25,5 @@
         Optional<String> workspace,
         Duration remainingTime,
         Optional<InetSocketAddress> cacheHolder,
+        Optional<RunCopy> copy,
         Optional<String> lastEvent) {}
--- a/mangowall-edge/src/test/java/org/mangowall/edge/decision/Fixtures.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/decision/Fixtures.java
@@ -58,7 +58,7 @@
                                 370,
                                 Duration.ofSeconds(3),
                                 coldRequestsPerSecond,
-                                Optional.of(new EngineTraits(64, 644_462, 35_136, 92_500_000))),
+                                Optional.of(new EngineTraits(64, 644_462, 35_136, 92_500_000, false))),
                         new ServiceDescription(PLAIN, 110, Duration.ZERO, 0, Optional.empty())),
                 true,
                 Map.of("key", "workspace"),
@@ -91,6 +91,7 @@
                 Set.of(),
                 0,
                 12_000,
+                false,
                 draw);
     }
 
@@ -106,6 +107,7 @@
                 excluded,
                 0,
                 600,
+                false,
                 draw);
     }
 
--- a/mangowall-edge/src/test/java/org/mangowall/edge/traffic/PlainMessages.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/traffic/PlainMessages.java
@@ -2,13 +2,17 @@
 
 import java.util.Optional;
 
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import org.mangowall.edge.model.CallerRequest;
+import org.mangowall.edge.model.RunCopy;
+import org.mangowall.edge.model.RunnerEntry;
 import org.mangowall.edge.model.RunnerResponse;
 import org.mangowall.edge.wire.Dispatch;
 import org.mangowall.edge.wire.HttpMessageCodec;
+import org.mangowall.edge.wire.MoveResponse;
 
 /** Requests and responses without any headers of the platform. */
 final class PlainMessages implements HttpMessageCodec {
@@ -48,6 +52,21 @@
         return head;
     }
 
+    @Override
+    public FullHttpRequest moveRequest(String request, RunnerEntry source, RunnerEntry target) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public MoveResponse readMoveResponse(RunnerEntry source, int status, byte[] body) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public FullHttpRequest releaseRequest(RunCopy copy) {
+        throw new UnsupportedOperationException();
+    }
+
     @Override
     public HttpRequest exampleRequest(String hostName, String path, String key, int number) {
         throw new UnsupportedOperationException();
