Hold a host's own delay apart from its runners', and use the connections that are left

Change: the delay that PathDelay measures is taken off the time to first token (model and slowness) and added to the time after which a runner counts as silent; while it is over half the connect timeout, a failed connection isn't reported. RequestPlacing prefers runners to which the host has a connection or may open one. Not done: prompts that are thought to be waiting still include the own delay at other hosts; connections are still shared out evenly over the hosts, and none waits for one.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
@@ -252,10 +252,7 @@
                     begin(inFlight, new InFlightRequest(sent, runner, now));
                     runner.coldStartLimiter().recordSent(hosts.size(), coldRate(runner), now);
                     runner.rateLimiter().recordSent(now);
-                    ServiceState service = service(runner.entry().service());
-                    service.promptReaders()
-                            .recordSent(
-                                    sent.prefillTokens(), service.firstToken().millisPerToken(), now);
+                    service(runner.entry().service()).recordPrompt(sent.prefillTokens(), now);
                 }
             }
             case LoadEvent.ResponseStarted started -> {
@@ -477,13 +474,18 @@
         runnerState(identifier).ifPresent(runner -> runner.coldStartLimiter().markColdUntil(now + leftNanos));
     }
 
-    /** Records the time to first token of a stream, which updates the service's model and the runner's slowness. */
-    public void recordFirstToken(String identifier, double waitedTokens, double millis) {
+    /**
+     * Records the time to first token of a stream, which updates the service's model and the runner's slowness.
+     *
+     * @param ownDelayMillis the part of it that this host's own network path took
+     */
+    public void recordFirstToken(String identifier, double waitedTokens, double millis, double ownDelayMillis) {
+        double atRunner = Math.max(1, millis - ownDelayMillis);
         runnerState(identifier).ifPresent(runner -> {
             FirstTokenModel model = service(runner.entry().service()).firstToken();
             double predicted = model.predictMillis(waitedTokens) * runner.slowness();
-            model.record(waitedTokens, millis);
-            runner.recordLatencyRatio(millis / Math.max(1, predicted));
+            model.record(waitedTokens, atRunner);
+            runner.recordLatencyRatio(atRunner / Math.max(1, predicted));
         });
     }
 
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/ServiceState.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/ServiceState.java
@@ -77,6 +77,11 @@
         return firstToken;
     }
 
+    /** Records a prompt that any host sent to a runner. */
+    void recordPrompt(int unreadTokens, long now) {
+        promptReaders.recordSent(unreadTokens, firstToken.millisPerToken(), now);
+    }
+
     DecayingFailureRatio failures() {
         return failures;
     }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
@@ -157,6 +157,7 @@
                 System::nanoTime,
                 random::nextDouble,
                 mesh,
+                mesh::pathDelayMillis,
                 settings.zone());
         callers = new CallerConnections(context, new RunnerConnections(context));
         ObjectStoreClient storeClient = adapter.connect(settings.store().toSocketAddress(), loop);
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/JvmWarmUp.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/JvmWarmUp.java
@@ -145,6 +145,7 @@
                 System::nanoTime,
                 () -> 0,
                 event -> {},
+                () -> 0,
                 NAME);
         context.install(new RouteTable(
                 1,
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/EdgeContext.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/EdgeContext.java
@@ -31,6 +31,7 @@
     private final LongSupplier nanoClock;
     private final DoubleSupplier random;
     private final LoadEventPublisher eventPublisher;
+    private final DoubleSupplier pathDelayMillis;
     private final String zone;
     private final DeferredWork deferredWork;
     private final LoopDelayMonitor loopDelay;
@@ -51,6 +52,7 @@
             LongSupplier nanoClock,
             DoubleSupplier random,
             LoadEventPublisher eventPublisher,
+            DoubleSupplier pathDelayMillis,
             String zone) {
         this.messages = messages;
         this.fleet = fleet;
@@ -63,6 +65,7 @@
         this.nanoClock = nanoClock;
         this.random = random;
         this.eventPublisher = eventPublisher;
+        this.pathDelayMillis = pathDelayMillis;
         this.zone = zone;
         this.deferredWork = new DeferredWork(loop, nanoClock);
         this.loopDelay = new LoopDelayMonitor(loop, nanoClock);
@@ -105,6 +108,11 @@
         return deferredWork;
     }
 
+    /** The delay of this host's own network path, in milliseconds; it isn't the runners'. */
+    double pathDelayMillis() {
+        return pathDelayMillis.getAsDouble();
+    }
+
     /** Returns the monitor of the event loop's delay. */
     public LoopDelayMonitor loopDelay() {
         return loopDelay;
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
@@ -1,11 +1,9 @@
 package org.mangowall.edge.traffic;
 
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
@@ -15,7 +13,6 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import org.mangowall.edge.decision.LoadEvent;
 import org.mangowall.edge.decision.PlacementDecision;
-import org.mangowall.edge.decision.PlacementRequest;
 import org.mangowall.edge.decision.StreamOrigin;
 import org.mangowall.edge.model.CallerRequest;
 import org.mangowall.edge.model.PromptDescription;
@@ -52,7 +49,7 @@
     private final RequestTiming timing;
     private final ExchangeLog log;
     private final MovedRun movedRun;
-    private final Set<String> excludedRunners = new HashSet<>();
+    private final RequestPlacing placing;
     private CallerRequest request;
     private Route route;
     private String service = "";
@@ -87,6 +84,7 @@
         this.timing = new RequestTiming(context::now, arrivedAt);
         this.log = new ExchangeLog(context);
         this.movedRun = new MovedRun(context, this, runners);
+        this.placing = new RequestPlacing(context, this, runners);
     }
 
     /** Resolves the route and the workspace, and places the request on a runner, unless the caller has left. */
@@ -132,29 +130,12 @@
 
     private void place() {
         offers += 1;
-        switch (decidePlacement()) {
+        switch (placing.decide()) {
             case PlacementDecision.Reject rejection -> placementRejected(rejection);
             case PlacementDecision.Send send -> send(send);
         }
     }
 
-    private PlacementDecision decidePlacement() {
-        PlacementRequest placementRequest = new PlacementRequest(
-                route,
-                service,
-                workspace,
-                request.prompt(),
-                context.fleet().quarantine().hasSuspects() ? OptionalLong.of(fingerprint()) : OptionalLong.empty(),
-                stream.origin().map(StreamOrigin::softwareVersion),
-                context.zone(),
-                excludedRunners,
-                timing.elapsedMillis(),
-                timing.remainingMillis(),
-                writer.hasStarted(),
-                context.nextRandom());
-        return context.placement().decide(placementRequest, context.now());
-    }
-
     private void placementRejected(PlacementDecision.Reject rejection) {
         log.placementRejected(this, rejection);
         if (runs > 0) {
@@ -240,6 +221,15 @@
         return request.prompt().map(PromptDescription::parts).orElse(List.of());
     }
 
+    String service() {
+        return service;
+    }
+
+    /** Whether part of the response has reached the caller. */
+    boolean hasResponseStarted() {
+        return writer.hasStarted();
+    }
+
     /** The fingerprint of the request, computed when it is first needed; valid until the request ends. */
     long fingerprint() {
         if (fingerprint.isEmpty()) {
@@ -324,7 +314,7 @@
         if (isFinished) {
             return;
         }
-        excludedRunners.add(tried.runner().identifier());
+        placing.exclude(tried.runner());
         if (mayOffer && offers < MAX_OFFERS && timing.remainingMillis() > MIN_REMAINING_MILLIS) {
             place();
             return;
@@ -352,8 +342,8 @@
         if (!canContinue()) {
             return;
         }
-        excludedRunners.add(tried.runner().identifier());
-        switch (decidePlacement()) {
+        placing.exclude(tried.runner());
+        switch (placing.decide()) {
             case PlacementDecision.Reject rejection -> log.placementRejected(this, rejection);
             case PlacementDecision.Send send -> {
                 tried.cancel();
@@ -390,7 +380,7 @@
     }
 
     private void retry(RunnerAttempt tried) {
-        excludedRunners.add(tried.runner().identifier());
+        placing.exclude(tried.runner());
         place();
     }
 
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerAttempt.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerAttempt.java
@@ -28,6 +28,9 @@
 
     private static final int FIRST_ERROR_STATUS = 300;
 
+    /** With a longer delay on this host's own path, a connection that fails in time says nothing about its runner. */
+    private static final double MAX_PATH_DELAY_MILLIS = RunnerConnections.CONNECT_TIMEOUT_MILLIS / 2.0;
+
     private static final String EVENT_STREAM = "text/event-stream";
 
     private final EdgeContext context;
@@ -114,7 +117,7 @@
             return;
         }
         finish(RunOutcome.OTHER);
-        if (isUnreachable) {
+        if (isUnreachable && context.pathDelayMillis() < MAX_PATH_DELAY_MILLIS) {
             context.markUnreachable(runner().identifier());
         }
         exchange.notReached(this, reason);
@@ -124,7 +127,8 @@
         if (stallTimer != null) {
             stallTimer.cancel(false);
         }
-        stallTimer = context.loop().schedule(this::stalled, millis, TimeUnit.MILLISECONDS);
+        long delayedMillis = millis + Math.round(context.pathDelayMillis());
+        stallTimer = context.loop().schedule(this::stalled, delayedMillis, TimeUnit.MILLISECONDS);
     }
 
     private void stalled() {
@@ -346,7 +350,9 @@
         hasReceivedBody = true;
         if (decision.waitedTokens() > 0) {
             double millis = (context.now() - sentAt) / Exchange.NANOS_PER_MILLI;
-            context.fleet().recordFirstToken(runner().identifier(), decision.waitedTokens(), millis);
+            context.fleet()
+                    .recordFirstToken(
+                            runner().identifier(), decision.waitedTokens(), millis, context.pathDelayMillis());
             context.publish(new LoadEvent.ResponseStarted(attemptNumber));
         }
     }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerConnections.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerConnections.java
@@ -1,9 +1,11 @@
 package org.mangowall.edge.traffic;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -22,7 +24,7 @@
 public final class RunnerConnections {
 
     /** A runner in the same region accepts a connection within a few milliseconds. */
-    private static final int CONNECT_TIMEOUT_MILLIS = 400;
+    static final int CONNECT_TIMEOUT_MILLIS = 400;
     /** Fraction of a runner's connection limit that all hosts share; the rest covers hosts that join or leave. */
     private static final double USABLE_SHARE = 0.85;
 
@@ -66,6 +68,17 @@
         connect(pool, receiver);
     }
 
+    /** The identifiers of the runners to which this host has no idle connection and may open no other one. */
+    Set<String> runnersWithoutConnection() {
+        Set<String> full = new HashSet<>();
+        pools.forEach((identifier, pool) -> {
+            if (!pool.hasIdle() && pool.size() >= maxConnections(pool.runner().service())) {
+                full.add(identifier);
+            }
+        });
+        return full;
+    }
+
     private int maxConnections(String service) {
         int hosts = Math.max(1, context.fleet().hostCount());
         int serviceLimit = context.table()
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerPool.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerPool.java
@@ -40,6 +40,10 @@
         return Optional.empty();
     }
 
+    boolean hasIdle() {
+        return !idle.isEmpty();
+    }
+
     int size() {
         return connections.size() + connecting;
     }
--- a/mangowall-edge/src/test/java/org/mangowall/edge/decision/EngineSimulation.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/decision/EngineSimulation.java
@@ -55,11 +55,19 @@
                 String zone = index % 2 == 0 ? "a" : "b";
                 fleet.installRunner(Fixtures.runner("runner-" + index, Fixtures.ENGINES, zone, 0), 0);
             }
-            hosts.add(new Host(name, fleet, new Placement(fleet, Fixtures.WINDOW_NANOS), delayMillis));
+            hosts.add(new Host(name, fleet, new Placement(fleet, Fixtures.WINDOW_NANOS), delayMillis, 0));
         }
     }
 
-    private record Host(String name, FleetLoad fleet, Placement placement, double delayMillis) {}
+    private record Host(
+            String name, FleetLoad fleet, Placement placement, double delayMillis, double measuredDelayMillis) {}
+
+    /** Lets the first host measure the delay of its own path. */
+    void measureDelayOfFirstHost() {
+        Host first = hosts.getFirst();
+        hosts.set(
+                0, new Host(first.name(), first.fleet(), first.placement(), first.delayMillis(), first.delayMillis()));
+    }
 
     /** Outcomes of a workspace's requests. */
     static final class Outcomes {
@@ -210,7 +218,7 @@
         long first = processedAt + (long) ((BASE_MILLIS + host.delayMillis()) * Fixtures.MILLI);
         events.add(new Event(first, () -> {
             double millis = (first - now) / (double) Fixtures.MILLI;
-            host.fleet().recordFirstToken(runner, send.waitedTokens(), millis);
+            host.fleet().recordFirstToken(runner, send.waitedTokens(), millis, host.measuredDelayMillis());
             publish(host, new LoadEvent.ResponseStarted(requestNumber), first);
             outcomes.begunTokens += prompt.costTokens();
             if (millis <= Fixtures.STREAMS.latencyGoal().toMillis()) {
--- a/mangowall-edge/src/test/java/org/mangowall/edge/decision/PlacementLoadTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/decision/PlacementLoadTest.java
@@ -78,6 +78,17 @@
                 "crowded " + crowded.begunTokens() + " of " + crowded.requestedTokens() + ", large " + large);
     }
 
+    /** A host whose own link delays everything by half a second has callers whom the idle runners can serve. */
+    @Test
+    void aHostDoesNotTakeItsOwnDelayForTheRunners() {
+        EngineSimulation simulation = new EngineSimulation(ENGINES, 900_000, 8, 500, 0, 0);
+        simulation.measureDelayOfFirstHost();
+        simulation.loadAtFirstHost("crowded", 40, 0, 12, random -> Fixtures.prompt(3_000, 100, random.nextLong()));
+        simulation.runToEnd();
+        EngineSimulation.Outcomes crowded = simulation.outcomes("crowded");
+        assertEquals(0, crowded.rejected(), "of " + crowded.requested());
+    }
+
     /** Load above capacity: admitted requests meet the latency goal, the rest is rejected at once. */
     @Test
     void overloadIsRejectedAndTheRestIsInTime() {
--- a/mangowall-edge/src/test/java/org/mangowall/edge/traffic/CallerConnectionsTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/traffic/CallerConnectionsTest.java
@@ -43,6 +43,7 @@
                 () -> now,
                 () -> 0,
                 event -> {},
+                () -> 0,
                 "a");
         connections = new CallerConnections(context, new RunnerConnections(context));
         connections.initChannel(channel);
--- a/mangowall-edge/src/test/java/org/mangowall/edge/traffic/DepartedCallerTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/traffic/DepartedCallerTest.java
@@ -75,6 +75,7 @@
                 System::nanoTime,
                 () -> 0,
                 this::published,
+                () -> 0,
                 "a");
         Route calls = new Route(
                 "calls",
