Bind the callers' address again when another process has taken it

A gate that opened while the address was in use left the host without a socket until it had closed and opened once more, though it said that it is ready: found by reading. Now it is tried every 100 ms. CallerListenerTest: the gate on real sockets, and an address that is taken for a while.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/MoveTarget.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/MoveTarget.java
@@ -70,7 +70,7 @@
                 + factor * prompt.promptTokens() * engine.bytesPerToken() / engine.linkBytesPerMillisecond();
     }
 
-    /** What waits at a runner before the next event, and a part of the time for which each running stream slows it. */
+    /** What a runner reads before the next event; among equal runners, the one with the fewest requests. */
     private static double delayMillis(ServiceState service, RunnerState runner) {
         return service.firstToken().millisPerToken() * runner.pendingPrefillTokens()
                 + (double) runner.running() / Math.max(1, runner.entry().slots());
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/CallerListener.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/CallerListener.java
@@ -18,6 +18,7 @@
 final class CallerListener {
 
     private static final long CHECK_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+    private static final long REBIND_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
     private static final double NANOS_PER_MILLI = 1e6;
 
     private final ServerBootstrap bootstrap;
@@ -44,23 +45,42 @@
         this.gate = new EntryGate(nanoClock.getAsLong());
     }
 
-    /** Binds the socket; the future fails if the address can't be used. */
+    /** Binds the socket for the first time; the future fails if the address can't be used. */
     ChannelFuture bind() {
         ChannelFuture binding = bootstrap.bind();
         binding.addListener(done -> {
-            if (!done.isSuccess()) {
-                log.write(
-                        "caller-listener-failed",
-                        line -> line.writeStringField("reason", String.valueOf(done.cause())));
-            } else if (isEnded || !gate.isOpen()) {
-                binding.channel().close();
-            } else {
-                channel = Optional.of(binding.channel());
+            if (done.isSuccess()) {
+                bound(binding.channel());
             }
         });
         return binding;
     }
 
+    private void bound(Channel listener) {
+        if (isEnded || !gate.isOpen() || channel.isPresent()) {
+            listener.close();
+        } else {
+            channel = Optional.of(listener);
+        }
+    }
+
+    /** Binds the socket again; another process may have taken the address for a while. */
+    private void rebind() {
+        if (isEnded || !gate.isOpen() || channel.isPresent()) {
+            return;
+        }
+        ChannelFuture binding = bootstrap.bind();
+        binding.addListener(done -> {
+            if (done.isSuccess()) {
+                bound(binding.channel());
+                return;
+            }
+            log.write("caller-listener-failed", line -> line.writeStringField("reason", String.valueOf(done.cause())));
+            loop.schedule(
+                    new GuardedTask(log, "caller-listener", this::rebind), REBIND_INTERVAL_NANOS, TimeUnit.NANOSECONDS);
+        });
+    }
+
     /**
      * Refuses connections from now on while this host is behind.
      *
@@ -96,7 +116,7 @@
         });
         metrics.recordEntryGate(gate.isOpen(), gate.closedSeconds());
         if (gate.isOpen()) {
-            bind();
+            rebind();
         } else {
             closeSocket();
         }
