Give readers of long prompts up when the others need their slots

Engines with few slots need all of them while work waits; a reader keeps its slots free. Readers are now never so many that more than half of the other runners' slots would be in use. PromptReadersTest.readersAreGivenUpWhenTheirSlotsAreNeeded.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/PromptReaders.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/PromptReaders.java
@@ -21,6 +21,9 @@
     private static final double TARGET_UTILISATION = 0.5;
 
     private static final double MAX_FRACTION_OF_RUNNERS = 1.0 / 3;
+    /** Part of the slots of the other runners that may be in use; engines with few slots need all of them. */
+    private static final double MAX_SLOTS_IN_USE = 0.5;
+
     private static final long WINDOW_NANOS = TimeUnit.SECONDS.toNanos(4);
     private static final int BUCKETS = 8;
     private static final long RECOMPUTE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
@@ -68,12 +71,21 @@
         return readers.contains(runner.entry().identifier());
     }
 
+    /** How many runners the others can do without; their slots would be missing otherwise. */
+    private static double spareRunners(List<RunnerState> runners) {
+        int running = runners.stream().mapToInt(RunnerState::running).sum();
+        double slots =
+                runners.stream().mapToInt(runner -> runner.entry().slots()).sum();
+        double needed = runners.size() * running / (MAX_SLOTS_IN_USE * Math.max(1, slots));
+        return Math.max(0, runners.size() - Math.ceil(needed));
+    }
+
     private Set<String> choose(List<RunnerState> runners, long now) {
         double busyRunners = readingMillis.sum(now) * NANOS_PER_MILLI / WINDOW_NANOS;
         int wanted = (int) Math.ceil(busyRunners / TARGET_UTILISATION);
         // A reader is given up only when two are no longer needed, so that the group doesn't change all the time.
         int kept = wanted == 0 ? 0 : Math.max(wanted, Math.min(readers.size(), wanted + 1));
-        int count = (int) Math.min(kept, runners.size() * MAX_FRACTION_OF_RUNNERS);
+        int count = (int) Math.min(Math.min(kept, runners.size() * MAX_FRACTION_OF_RUNNERS), spareRunners(runners));
         Set<String> chosen = new HashSet<>();
         runners.stream()
                 .filter(runner -> !runner.entry().isDraining() && !runner.isLeaving())
--- a/mangowall-edge/src/test/java/org/mangowall/edge/decision/PromptReadersTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/decision/PromptReadersTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.junit.jupiter.api.BeforeEach;
@@ -34,6 +35,7 @@
     private final Placement placement = new Placement(fleet, Fixtures.WINDOW_NANOS);
     private long now = 1;
     private long lastNumber;
+    private int streamsInProgress = 60;
 
     @BeforeEach
     void installRunners() {
@@ -79,6 +81,12 @@
                         Optional.empty()),
                 now);
         fleet.apply("host", new LoadEvent.ResponseStarted(lastNumber), now);
+        if (lastNumber > streamsInProgress) {
+            fleet.apply(
+                    "host",
+                    new LoadEvent.Ended(lastNumber - streamsInProgress, RunOutcome.COMPLETE, OptionalLong.empty()),
+                    now);
+        }
         return send;
     }
 
@@ -145,10 +153,24 @@
         for (int request = 0; request < 60; request++) {
             place(request % 12 == 0 ? LONG_TOKENS : 1_200);
         }
+        streamsInProgress = Integer.MAX_VALUE;
         Set<String> used = new HashSet<>();
         for (int request = 0; request < 14 * 64; request++) {
             used.add(place(1_200).runner().identifier());
         }
         assertEquals(RUNNERS, used.size());
     }
+
+    /** Slots that streams need are not kept free for reading: more than half of them are in use. */
+    @Test
+    void readersAreGivenUpWhenTheirSlotsAreNeeded() {
+        for (int request = 0; request < 60; request++) {
+            place(request % 12 == 0 ? LONG_TOKENS : 1_200);
+        }
+        streamsInProgress = Integer.MAX_VALUE;
+        for (int request = 0; request < RUNNERS * 64 / 2; request++) {
+            place(1_200);
+        }
+        assertFalse(place(LONG_TOKENS / 2).isReadApart());
+    }
 }
