--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/Exchange.java
@@ -344,7 +344,7 @@
         }
         placing.exclude(tried.runner());
         switch (placing.decide()) {
-            case PlacementDecision.Reject rejection -> log.placementRejected(this, rejection);
+            case PlacementDecision.Reject rejection -> log.notTakenOver(this, tried, rejection);
             case PlacementDecision.Send send -> {
                 tried.cancel();
                 offers += 1;
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/ExchangeLog.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/ExchangeLog.java
@@ -45,6 +45,15 @@
         });
     }
 
+    void notTakenOver(Exchange exchange, RunnerAttempt silent, PlacementDecision.Reject rejection) {
+        context.log().write("not-taken-over", line -> {
+            writeRequest(line, exchange);
+            line.writeStringField("runner", silent.runner().identifier());
+            line.writeStringField("code", rejection.code().code());
+            line.writeNumberField("elapsedMillis", Math.round(exchange.timing().elapsedMillis()));
+        });
+    }
+
     void placed(Exchange exchange, PlacementDecision.Send decision) {
         context.log().write("placed", line -> {
             writeRequest(line, exchange);
