Make the costs of simulated requests the same on all processors

Cause: CostSequence used Math.log, Math.cos and Math.exp, which may differ in the last bit between processors; StrictMath may not. Either order is fair.

--- a/mangowall-benchmark/src/main/java/org/mangowall/benchmark/fleet/CostSequence.java
+++ b/mangowall-benchmark/src/main/java/org/mangowall/benchmark/fleet/CostSequence.java
@@ -3,7 +3,7 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 
-/** A seeded sequence of log-normally distributed request costs. */
+/** A seeded sequence of log-normally distributed request costs, which are the same on all processors. */
 final class CostSequence {
 
     private static final double MINIMUM_COST = 1;
@@ -20,9 +20,9 @@
     }
 
     double next() {
-        double gaussian =
-                Math.sqrt(-2 * Math.log(1 - random.nextDouble())) * Math.cos(2 * Math.PI * random.nextDouble());
-        double cost = mean * Math.exp(spread * gaussian - spread * spread / 2);
+        double gaussian = Math.sqrt(-2 * StrictMath.log(1 - random.nextDouble()))
+                * StrictMath.cos(2 * Math.PI * random.nextDouble());
+        double cost = mean * StrictMath.exp(spread * gaussian - spread * spread / 2);
         return Math.min(mean * MAXIMUM_COST_BY_MEAN, Math.max(Math.min(MINIMUM_COST, mean), cost));
     }
 }
