Log how long requests wait for the host's processor

`load` has deferredMillis and deferred, `placed` and `turned-away` have waitingMillis, and there are gauges mangowall_deferred_requests and mangowall_deferred_seconds. No decision changes.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/log/EdgeMetrics.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/log/EdgeMetrics.java
@@ -56,6 +56,14 @@
             .name("mangowall_entry_closed_seconds")
             .help("How long the host has refused connections of callers since its start, because it was behind")
             .register(registry);
+    private final Gauge deferredRequests = Gauge.builder()
+            .name("mangowall_deferred_requests")
+            .help("Requests that were read and wait until the host's processor works on them")
+            .register(registry);
+    private final Gauge deferredSeconds = Gauge.builder()
+            .name("mangowall_deferred_seconds")
+            .help("How long the oldest of these requests has been waiting")
+            .register(registry);
     private final Histogram firstByte = Histogram.builder()
             .name("mangowall_first_byte_seconds")
             .help("Time from a whole request to the first byte of its answer")
@@ -102,6 +110,12 @@
         entryClosedSeconds.set(closedSeconds);
     }
 
+    /** Records what was read and waits for the processor, and the age of the oldest. */
+    public void recordDeferredWork(int waiting, double seconds) {
+        deferredRequests.set(waiting);
+        deferredSeconds.set(seconds);
+    }
+
     /** Records the time from a complete request to the first byte of its response. */
     public void observeFirstByte(String route, double seconds) {
         firstByte.labelValues(route).observe(seconds);
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
@@ -63,6 +63,7 @@
     /** Shorter delays of the event loop are ordinary. */
     private static final double MIN_BEARABLE_DELAY_MILLIS = 100;
 
+    private static final double NANOS_PER_SECOND = 1e9;
     private static final long CLOSE_TIMEOUT_MILLIS = 1_000;
     private static final long SHUTDOWN_CHECK_MILLIS = 50;
     /** Part of the grace period that is reserved for the process to exit. */
@@ -230,8 +231,14 @@
 
     private void logLoad(long loopDelayNanos) {
         reportQuarantines();
+        metrics.recordDeferredWork(
+                context.deferredWork().size(), context.deferredWork().delayNanos() / NANOS_PER_SECOND);
         log.write("load", line -> {
             line.writeNumberField("loopDelayMillis", TimeUnit.NANOSECONDS.toMillis(loopDelayNanos));
+            line.writeNumberField(
+                    "deferredMillis",
+                    TimeUnit.NANOSECONDS.toMillis(context.deferredWork().takeLongestWaitNanos()));
+            line.writeNumberField("deferred", context.deferredWork().size());
             line.writeNumberField("activeRequests", callers.activeRequests());
             line.writeNumberField("hosts", fleet.hostCount());
             writeTraffic(line, "caller", traffic.take(TrafficMeter.Endpoint.CALLER));
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/DeferredWork.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/DeferredWork.java
@@ -15,27 +15,50 @@
  * left. Deferred work runs after one more turn of the loop, in which the end of the connection is read, and for a
  * bounded time in each turn, so that the next end of a connection is read soon.
  */
-final class DeferredWork {
+public final class DeferredWork {
 
     /** Work in one turn of the loop; well below the half second after which a caller's leaving has to be noticed. */
     private static final long MAX_TURN_NANOS = 20_000_000L;
 
     private final EventLoop loop;
     private final LongSupplier nanoClock;
-    private final Deque<Runnable> waiting = new ArrayDeque<>();
+    private final Deque<Waiting> waiting = new ArrayDeque<>();
     /** How much of the waiting work was added before the turn that has begun. */
     private int readyCount;
 
     private boolean isScheduled;
+    private long longestWaitNanos;
 
     DeferredWork(EventLoop loop, LongSupplier nanoClock) {
         this.loop = loop;
         this.nanoClock = nanoClock;
     }
 
+    /** Work with the time at which it was added. */
+    private record Waiting(Runnable work, long addedAt) {}
+
+    /** Returns the amount of work that waits. */
+    public int size() {
+        return waiting.size();
+    }
+
+    /** How long the oldest work has been waiting, in nanoseconds; 0 if none waits. */
+    public long delayNanos() {
+        return waiting.isEmpty()
+                ? 0
+                : nanoClock.getAsLong() - waiting.peekFirst().addedAt();
+    }
+
+    /** Returns the longest time that any work has waited since the last call, in nanoseconds. */
+    public long takeLongestWaitNanos() {
+        long longest = Math.max(longestWaitNanos, delayNanos());
+        longestWaitNanos = 0;
+        return longest;
+    }
+
     /** Adds work, which runs in the order of the calls. */
     void add(Runnable work) {
-        waiting.addLast(work);
+        waiting.addLast(new Waiting(work, nanoClock.getAsLong()));
         if (!isScheduled) {
             isScheduled = true;
             loop.execute(this::afterThisTurn);
@@ -52,7 +75,8 @@
         long startedAt = nanoClock.getAsLong();
         while (readyCount > 0 && nanoClock.getAsLong() - startedAt < MAX_TURN_NANOS) {
             readyCount -= 1;
-            waiting.pollFirst().run();
+            longestWaitNanos = Math.max(longestWaitNanos, delayNanos());
+            waiting.pollFirst().work().run();
         }
         isScheduled = !waiting.isEmpty();
         if (isScheduled) {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/EdgeContext.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/EdgeContext.java
@@ -104,7 +104,7 @@
     }
 
     /** Work on requests that waits for the reads of this turn and the next one. */
-    DeferredWork deferredWork() {
+    public DeferredWork deferredWork() {
         return deferredWork;
     }
 
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/ExchangeLog.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/ExchangeLog.java
@@ -39,6 +39,7 @@
             line.writeStringField("code", rejection.code().code());
             line.writeNumberField("predictedMillis", Math.round(rejection.predictedMillis()));
             writeAdmission(line, exchange, rejection.admission());
+            line.writeNumberField("waitingMillis", Math.round(exchange.timing().waitingMillis()));
             line.writeNumberField("runners", context.fleet().runnerCount());
             line.writeNumberField("configuration", configurationVersion());
             line.writeNumberField("offers", exchange.offers());
@@ -65,6 +66,7 @@
             writeAdmission(line, exchange, decision.admission());
             line.writeNumberField("unreadTokens", decision.prefillTokens());
             line.writeNumberField("waitedTokens", decision.waitedTokens());
+            line.writeNumberField("waitingMillis", Math.round(exchange.timing().waitingMillis()));
             line.writeBooleanField("isReadApart", decision.isReadApart());
             line.writeNumberField("configuration", configurationVersion());
             line.writeNumberField("offers", exchange.offers());
