--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
@@ -14,7 +14,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -35,6 +34,7 @@
 import org.mangowall.edge.model.HostRecord;
 import org.mangowall.edge.model.RunnerEntry;
 import org.mangowall.edge.peer.PeerMesh;
+import org.mangowall.edge.traffic.AcceptOptions;
 import org.mangowall.edge.traffic.CallerConnections;
 import org.mangowall.edge.traffic.EdgeContext;
 import org.mangowall.edge.traffic.RunnerConnections;
@@ -49,7 +49,6 @@
 /** A host: assembles its components, starts them and shuts them down. */
 public final class Edge implements AutoCloseable {
 
-    private static final int BACKLOG = 1_024;
     private static final int MAX_DIRECTORY_REQUEST_BYTES = 16_384;
     private static final long EXPIRY_CHECK_MILLIS = 1_000;
     /** Time in which callers learn that the host is leaving; later requests could outlast the grace period. */
@@ -280,13 +279,11 @@
     }
 
     private ServerBootstrap serverBootstrap(ChannelHandler handler) {
-        return new ServerBootstrap()
+        ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(group, group)
                 .channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(handler);
+        return AcceptOptions.applyTo(bootstrap);
     }
 
     private static void requireBound(ChannelFuture binding, HostAndPort address) {
--- a/mangowall-edge/src/test/java/org/mangowall/edge/traffic/PlainMessages.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/traffic/PlainMessages.java
@@ -1,5 +1,6 @@
 package org.mangowall.edge.traffic;
 
+import java.util.List;
 import java.util.Optional;
 
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -7,6 +8,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import org.mangowall.edge.model.CallerRequest;
+import org.mangowall.edge.model.PromptDescription;
 import org.mangowall.edge.model.RunCopy;
 import org.mangowall.edge.model.RunnerEntry;
 import org.mangowall.edge.model.RunnerResponse;
@@ -14,9 +16,12 @@
 import org.mangowall.edge.wire.HttpMessageCodec;
 import org.mangowall.edge.wire.MoveResponse;
 
-/** Requests and responses without any headers of the platform. */
+/** Requests and responses without any headers of the platform; a request with a key has a prompt. */
 final class PlainMessages implements HttpMessageCodec {
 
+    private static final int PROMPT_TOKENS = 100;
+    private static final int OUTPUT_TOKENS = 10;
+
     @Override
     public RunnerResponse readResponse(HttpResponse head) {
         return new RunnerResponse(
@@ -36,13 +41,14 @@
 
     @Override
     public CallerRequest readRequest(HttpRequest head) {
+        Optional<String> key = Optional.ofNullable(head.headers().get(HttpHeaderNames.AUTHORIZATION));
         return new CallerRequest(
                 "request",
                 head.headers().get(HttpHeaderNames.HOST),
                 head.uri(),
                 Optional.empty(),
-                Optional.empty(),
-                Optional.empty(),
+                key,
+                key.map(any -> new PromptDescription(PROMPT_TOKENS, OUTPUT_TOKENS, List.of())),
                 Optional.empty(),
                 Optional.empty());
     }
