Close the entry gate by the requests that wait for the processor

Cause: to read and refuse a request costs a good part of serving it. The gate, whose refusals cost nothing, looked at the path and at the event loop, not at the requests that wait, and only each 50 ms.

Change: the gate also looks at the age of the oldest request, after the work of each turn, and changes at once. What callers ask for while it is closed is estimated by what arrived while it was open and counts as asked, or a workspace whose connections are refused would seem content.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/overload/EntryGate.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/overload/EntryGate.java
@@ -16,6 +16,8 @@
     private static final long MAX_CLOSED_NANOS = TimeUnit.SECONDS.toNanos(1);
     /** Time to accept what has been waiting for the gate to open, and to measure what that does. */
     private static final long MIN_OPEN_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+    /** The gate closes before requests that have been read wait so long that they have to be refused. */
+    private static final double MAX_QUEUE_MILLIS = 100;
     /** Fraction of the bound below which the gate opens. */
     private static final double OPENING_FRACTION = 0.5;
 
@@ -36,10 +38,26 @@
      * @return whether the gate has changed
      */
     public boolean update(double delayMillis, double boundMillis, long now) {
+        return update(0, delayMillis, boundMillis, now);
+    }
+
+    /**
+     * Opens or closes the gate, also by the requests that have arrived and wait. That is known without measuring it for
+     * a while, and to read and refuse what comes meanwhile takes processor time from serving what waits.
+     *
+     * @param queueMillis how long the oldest request has been waiting for the processor
+     * @param delayMillis the delay of this host's own path and processing
+     * @param boundMillis the delay that callers can bear
+     * @return whether the gate has changed
+     */
+    public boolean update(double queueMillis, double delayMillis, double boundMillis, long now) {
         long unchangedNanos = now - changedAt;
-        boolean shouldChange = isOpen
-                ? delayMillis > boundMillis && unchangedNanos >= MIN_OPEN_NANOS
-                : delayMillis < OPENING_FRACTION * boundMillis || unchangedNanos >= MAX_CLOSED_NANOS;
+        double queueBoundMillis = Math.min(boundMillis, MAX_QUEUE_MILLIS);
+        boolean isBehind = delayMillis > boundMillis && unchangedNanos >= MIN_OPEN_NANOS;
+        boolean hasCaughtUp =
+                delayMillis < OPENING_FRACTION * boundMillis && queueMillis < OPENING_FRACTION * queueBoundMillis;
+        boolean shouldChange =
+                isOpen ? isBehind || queueMillis > queueBoundMillis : hasCaughtUp || unchangedNanos >= MAX_CLOSED_NANOS;
         if (!shouldChange) {
             return false;
         }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/CallerListener.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/CallerListener.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
 
@@ -28,6 +29,9 @@
     private final EdgeMetrics metrics;
     private final EntryGate gate;
     private Optional<Channel> channel = Optional.empty();
+    private OwnDelays delays;
+    private Consumer<Boolean> changeListener;
+    private double loopDelayMillis;
     private boolean isEnded;
 
     /**
@@ -82,36 +86,58 @@
     }
 
     /**
-     * Refuses connections from now on while this host is behind.
+     * Delays of this host's own, in milliseconds.
      *
-     * @param pathDelayMillis the delay of the host's own network path
+     * @param queueMillis how long the oldest request that has arrived has been waiting for the processor
+     * @param pathMillis the delay of the host's own network path
      * @param boundMillis the delay that callers can bear
      */
-    void startGate(DoubleSupplier pathDelayMillis, DoubleSupplier boundMillis) {
+    record OwnDelays(DoubleSupplier queueMillis, DoubleSupplier pathMillis, DoubleSupplier boundMillis) {}
+
+    /**
+     * Refuses connections from now on while this host is behind.
+     *
+     * @param newChangeListener gets whether connections are accepted, at each change
+     */
+    void startGate(OwnDelays newDelays, Consumer<Boolean> newChangeListener) {
+        delays = newDelays;
+        changeListener = newChangeListener;
+        scheduleCheck();
+    }
+
+    private void scheduleCheck() {
         long dueAt = nanoClock.getAsLong() + CHECK_INTERVAL_NANOS;
         loop.schedule(
                 () -> {
-                    new GuardedTask(log, "entry-gate", () -> check(pathDelayMillis, boundMillis, dueAt)).run();
+                    loopDelayMillis = (nanoClock.getAsLong() - dueAt) / NANOS_PER_MILLI;
+                    checkGate();
                     if (!isEnded) {
-                        startGate(pathDelayMillis, boundMillis);
+                        scheduleCheck();
                     }
                 },
                 CHECK_INTERVAL_NANOS,
                 TimeUnit.NANOSECONDS);
     }
 
-    private void check(DoubleSupplier pathDelayMillis, DoubleSupplier boundMillis, long dueAt) {
-        long now = nanoClock.getAsLong();
-        double loopDelay = (now - dueAt) / NANOS_PER_MILLI;
-        double pathDelay = pathDelayMillis.getAsDouble();
-        double bound = boundMillis.getAsDouble();
-        if (isEnded || !gate.update(Math.max(loopDelay, pathDelay), bound, now)) {
+    /** Opens or closes the gate by the delays that this host has now. */
+    void checkGate() {
+        new GuardedTask(log, "entry-gate", this::check).run();
+    }
+
+    private void check() {
+        double queue = delays.queueMillis().getAsDouble();
+        double pathDelay = delays.pathMillis().getAsDouble();
+        double bound = delays.boundMillis().getAsDouble();
+        double delay = Math.max(loopDelayMillis, pathDelay);
+        if (isEnded || !gate.update(queue, delay, bound, nanoClock.getAsLong())) {
             return;
         }
+        changeListener.accept(gate.isOpen());
         log.write("entry-gate", line -> {
             line.writeBooleanField("isOpen", gate.isOpen());
+            line.writeNumberField("deferredMillis", Math.round(queue));
             line.writeNumberField("pathDelayMillis", Math.round(pathDelay));
-            line.writeNumberField("loopDelayMillis", Math.round(loopDelay));
+            line.writeNumberField("loopDelayMillis", Math.round(loopDelayMillis));
             line.writeNumberField("boundMillis", Math.round(bound));
         });
         metrics.recordEntryGate(gate.isOpen(), gate.closedSeconds());
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
@@ -63,6 +63,7 @@
     private static final double MIN_BEARABLE_DELAY_MILLIS = 100;
 
     private static final double NANOS_PER_SECOND = 1e9;
+    private static final double NANOS_PER_MILLI = 1e6;
     private static final long CLOSE_TIMEOUT_MILLIS = 1_000;
     private static final long SHUTDOWN_CHECK_MILLIS = 50;
     /** Part of the grace period that is reserved for the process to exit. */
@@ -121,7 +122,14 @@
                 metrics);
         requireBound(callerListener.bind(), settings.callerAddress());
         if (settings.refusesWhenBehind()) {
-            loop.execute(() -> callerListener.startGate(mesh::pathDelayMillis, this::bearableDelayMillis));
+            loop.execute(() -> {
+                CallerListener.OwnDelays delays = new CallerListener.OwnDelays(
+                        () -> context.deferredWork().delayNanos() / NANOS_PER_MILLI,
+                        mesh::pathDelayMillis,
+                        this::bearableDelayMillis);
+                callerListener.startGate(delays, context::entryChanged);
+                context.deferredWork().setTurnListener(callerListener::checkGate);
+            });
         }
         bind(settings.peerAddress(), new ChannelInitializer<>() {
             @Override
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/DeferredWork.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/DeferredWork.java
@@ -38,6 +38,7 @@
     private int arrivedCount;
     private boolean isScheduled;
     private long longestWaitNanos;
+    private Runnable turnListener = () -> {};
 
     DeferredWork(EventLoop loop, LongSupplier nanoClock) {
         this.loop = loop;
@@ -47,6 +48,11 @@
     /** A request that has arrived, with the time at which it was added. */
     private record Waiting(String workspace, Runnable start, long addedAt) {}
 
+    /** Sets what is called after the work of each turn. */
+    public void setTurnListener(Runnable listener) {
+        turnListener = listener;
+    }
+
     /** Returns the number of requests that have arrived and wait. */
     public int size() {
         return arrivedCount;
@@ -110,6 +116,7 @@
         while (hasReadyWork() && nanoClock.getAsLong() - startedAt < MAX_TURN_NANOS) {
             runNext();
         }
+        turnListener.run();
         isScheduled = hasReadyWork() || !newUrgent.isEmpty() || !newArrived.isEmpty();
         if (isScheduled) {
             afterThisTurn();
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/EdgeContext.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/EdgeContext.java
@@ -15,6 +15,7 @@
 import org.mangowall.edge.log.EdgeMetrics;
 import org.mangowall.edge.log.TrafficMeter;
 import org.mangowall.edge.model.RouteTable;
+import org.mangowall.edge.overload.UnseenDemand;
 import org.mangowall.edge.wire.HttpMessageCodec;
 
 /** State and services shared by all requests of a host; confined to the network thread. */
@@ -34,6 +35,7 @@
     private final DoubleSupplier pathDelayMillis;
     private final String zone;
     private final DeferredWork deferredWork;
+    private final UnseenDemand unseenDemand;
     private final LoopDelayMonitor loopDelay;
     private final Lifecycle lifecycle = new Lifecycle();
     private final Map<String, SharedRetryBudget> retryBudgets = new HashMap<>();
@@ -68,6 +70,7 @@
         this.pathDelayMillis = pathDelayMillis;
         this.zone = zone;
         this.deferredWork = new DeferredWork(loop, nanoClock);
+        this.unseenDemand = new UnseenDemand(nanoClock.getAsLong());
         this.loopDelay = new LoopDelayMonitor(loop, nanoClock);
     }
 
@@ -108,6 +111,21 @@
         return deferredWork;
     }
 
+    UnseenDemand unseenDemand() {
+        return unseenDemand;
+    }
+
+    /** This host accepts the connections of callers again, or refuses them from now on. */
+    public void entryChanged(boolean isOpen) {
+        if (!isOpen) {
+            unseenDemand.closed(now());
+            return;
+        }
+        unseenDemand
+                .opened(now())
+                .forEach((workspace, costTokens) -> publish(new LoadEvent.TurnedAway(workspace, costTokens)));
+    }
+
     /** The delay of this host's own network path, in milliseconds; it isn't the runners'. */
     double pathDelayMillis() {
         return pathDelayMillis.getAsDouble();
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RequestArrival.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RequestArrival.java
@@ -41,6 +41,9 @@
             return;
         }
         String workspace = exchange.workspace().orElse("");
+        if (!workspace.isEmpty() && exchange.costTokens() > 0) {
+            context.unseenDemand().arrived(workspace, exchange.costTokens(), context.now());
+        }
         double waitMillis = context.deferredWork().delayNanos(workspace) / Exchange.NANOS_PER_MILLI;
         if (waitMillis > bearableWaitMillis()) {
             afterThisTurn(() -> refuseBusy(waitMillis));
--- a/mangowall-edge/src/test/java/org/mangowall/edge/overload/EntryGateTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/overload/EntryGateTest.java
@@ -16,6 +16,8 @@
     /** Time for which the link is busy with a request. */
     private static final double LINK_MILLIS = 14;
 
+    private static final double SERVICE_MILLIS = 2.5;
+    private static final double REFUSAL_MILLIS = 0.6;
     private static final int SECONDS = 20;
     private static final int CHECK_MILLIS = 50;
 
@@ -83,4 +85,38 @@
         assertFalse(gate.update(2 * BOUND_MILLIS, BOUND_MILLIS, 1_100 * MILLI));
         assertTrue(gate.update(2 * BOUND_MILLIS, BOUND_MILLIS, 1_150 * MILLI));
     }
+
+    /** What waits for the processor closes the gate at once: nothing has to be measured. */
+    @Test
+    void aLongQueueClosesTheGateAtOnce() {
+        EntryGate gate = new EntryGate(0);
+        assertFalse(gate.update(100, 0, BOUND_MILLIS, 1_000 * MILLI));
+        assertTrue(gate.update(101, 0, BOUND_MILLIS, 1_001 * MILLI));
+        assertFalse(gate.update(51, 0, BOUND_MILLIS, 1_030 * MILLI));
+        assertTrue(gate.update(49, 0, BOUND_MILLIS, 1_040 * MILLI));
+        assertTrue(gate.update(101, 0, BOUND_MILLIS, 1_050 * MILLI));
+    }
+
+    /**
+     * Twice what the processor can do arrives, and to read and refuse a request costs a quarter of serving it. Requests
+     * are refused by the gate instead, so that most of the processor's time is spent on serving.
+     */
+    @Test
+    void theProcessorIsSpentOnServing() {
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(13);
+        EntryGate gate = new EntryGate(0);
+        double queuedMillis = 0;
+        int served = 0;
+        for (int now = 0; now < SECONDS * 1_000; now++) {
+            gate.update(queuedMillis, 0, BOUND_MILLIS, now * MILLI);
+            if (gate.isOpen() && random.nextDouble() < 0.8) {
+                boolean isRefused = queuedMillis > GOAL_MILLIS / 2;
+                queuedMillis += isRefused ? REFUSAL_MILLIS : SERVICE_MILLIS;
+                served += isRefused ? 0 : 1;
+            }
+            queuedMillis = Math.max(0, queuedMillis - 1);
+        }
+        double useful = served * SERVICE_MILLIS / (SECONDS * 1_000);
+        assertTrue(useful >= 0.9, "useful fraction " + useful);
+    }
 }
--- a/mangowall-edge/src/test/java/org/mangowall/edge/program/CallerListenerTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/program/CallerListenerTest.java
@@ -55,7 +55,8 @@
                 log,
                 metrics);
         listener.bind().syncUninterruptibly();
-        group.next().execute(() -> listener.startGate(() -> delayMillis, () -> BOUND_MILLIS));
+        CallerListener.OwnDelays delays = new CallerListener.OwnDelays(() -> 0, () -> delayMillis, () -> BOUND_MILLIS);
+        group.next().execute(() -> listener.startGate(delays, isOpen -> {}));
     }
 
     @AfterEach
