Take no response without an identifier for the next request's on a kept connection

Here: a repeated refusal that bears the identifier of its own request was skipped already (aRepeatedRefusalIsNotThatOfTheNextRequest passes before). One without an identifier was taken for the refusal of the request that runs: the caller got 503, "not run".

Change: on a connection that has carried a request before, a response to a request must bear its identifier, which runners repeat in each response; otherwise the attempt counts as lost, so the request may have run. Calls of a host's own (moves and releases) have no identifier in their responses and are exempt.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/CopyRelease.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/CopyRelease.java
@@ -22,7 +22,7 @@
         runners.acquire(source, acquired -> {
             if (acquired instanceof AcquireResult.Ready ready) {
                 FullHttpRequest call = context.messages().releaseRequest(copy);
-                ready.connection().send(call, call.content(), "", this);
+                ready.connection().call(call, "", this);
                 call.release();
             } else {
                 logFailure("no connection");
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunMove.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunMove.java
@@ -56,7 +56,7 @@
             } else {
                 connection = ready.connection();
                 FullHttpRequest call = context.messages().moveRequest(request, source, target);
-                connection.send(call, call.content(), request, this);
+                connection.call(call, request, this);
                 call.release();
             }
         });
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerConnection.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerConnection.java
@@ -12,6 +12,7 @@
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
@@ -44,6 +45,10 @@
     /** Whether the connection must not carry another request. */
     private boolean isTainted;
 
+    private boolean hasCarriedRequest;
+    /** Whether the response must bear the identifier, since an earlier one may be sent once more. */
+    private boolean isIdentifierRequired;
+
     private long idleTimeoutNanos = DEFAULT_IDLE_TIMEOUT_NANOS;
     private long idleUntil;
 
@@ -68,6 +73,7 @@
         expectedIdentifier = identifier;
         isReceivingResponse = false;
         isSkippingResponse = false;
+        isIdentifierRequired = hasCarriedRequest;
         if (body.isReadable() || head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
             head.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         }
@@ -81,6 +87,12 @@
         requestWrite = channel.writeAndFlush(request);
     }
 
+    /** Sends a call of this host itself; runners don't repeat the identifier in its response. */
+    void call(FullHttpRequest call, String identifier, RunnerResponseListener newListener) {
+        send(call, call.content(), identifier, newListener);
+        isIdentifierRequired = false;
+    }
+
     /** Whether the request was written without an error. */
     boolean isRequestWritten() {
         return requestWrite.isSuccess();
@@ -164,8 +176,8 @@
         if (isSkippingResponse) {
             return;
         }
-        if (isTainted && response.identifier().isEmpty()) {
-            fail("a response without a request identifier follows one for another request");
+        if ((isTainted || isIdentifierRequired) && response.identifier().isEmpty()) {
+            fail("a response on a kept connection has no request identifier");
             return;
         }
         isReceivingResponse = true;
@@ -190,6 +202,7 @@
         if (content instanceof LastHttpContent && listener != null) {
             RunnerResponseListener completed = listener;
             listener = null;
+            hasCarriedRequest = true;
             boolean isReusable = !isTainted && requestWrite.isSuccess() && channel.isActive();
             if (isReusable) {
                 setReading(true);
