Continue a stream by an event stream only

Another operator's report: a stream had begun and broke off; the next runner answered with an error, whose text, at times with its head, stood in the middle of the stream, or the stream ended as complete.

An answer with status 200 and another media type (text/plain, application/json, text/html) was forwarded as the rest of the stream, which then ended as complete.

Change: what continues a stream must be an event stream; anything else fails the attempt.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerAttempt.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerAttempt.java
@@ -209,6 +209,10 @@
             rejectResponse("the response has a content coding that was not requested");
             return;
         }
+        if (response.isSuccess() && exchange.hasResponseStarted() && !isEventStream(newHead)) {
+            rejectResponse("the response does not continue the stream: it has another media type");
+            return;
+        }
         head = newHead;
         isStreaming = response.isSuccess() && exchange.route().kind().isStream();
         if (!isStreaming) {
