Let no workspace leave one far behind that its host holds back

Cause: what the first one gets is bounded by the processor of its host.

Change: while a workspace asks for more than its max-min share of the rated throughput and is turned away all the time, another one may use one and a half times what that one uses, but never less than its own share. Requests beyond are thinned out by chance. load lines name the three workspaces that asked most, admittedFraction stands in placed and turned-away.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/FairShareUsage.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/FairShareUsage.java
@@ -5,10 +5,11 @@
  *
  * @param ofRatedShare multiple of its share of the rated throughput of the engines
  * @param ofCurrentShare multiple of its share of the current throughput
+ * @param admittedFraction part of its requests that may be admitted beside a worse served workspace that waits
  */
-public record FairShareUsage(double ofRatedShare, double ofCurrentShare) {
+public record FairShareUsage(double ofRatedShare, double ofCurrentShare, double admittedFraction) {
 
-    static final FairShareUsage ZERO = new FairShareUsage(0, 0);
+    static final FairShareUsage ZERO = new FairShareUsage(0, 0, 1);
     /** Exactly the fair share, for requests without a workspace. */
-    static final FairShareUsage EQUAL = new FairShareUsage(1, 1);
+    static final FairShareUsage EQUAL = new FairShareUsage(1, 1, 1);
 }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
@@ -15,11 +15,7 @@
 import org.mangowall.edge.model.RouteTable;
 import org.mangowall.edge.model.RunnerEntry;
 
-/**
- * One host's estimate of the load on all runners, from its own requests and the events of the other hosts.
- *
- * <p>Not thread-safe: used by one thread only.
- */
+/** One host's estimate of the load on all runners, from the events of all hosts; used by one thread only. */
 public final class FleetLoad {
 
     /** Added to the reported cold time of a runner, because its entry may be that old. */
@@ -62,12 +58,11 @@
         table = newTable;
         tokensPerSecond = table.tokensPerSecond();
         services.forEach(this::describe);
-        List<RunnerEntry> outdated = new ArrayList<>();
-        for (RunnerState runner : runners.values()) {
-            if (!runner.hasCacheSizeFor(engineOf(runner.entry().service()))) {
-                outdated.add(runner.entry());
-            }
-        }
+        List<RunnerEntry> outdated = runners.values().stream()
+                .filter(runner ->
+                        !runner.hasCacheSizeFor(engineOf(runner.entry().service())))
+                .map(RunnerState::entry)
+                .toList();
         outdated.forEach(entry -> {
             removeRunner(entry.identifier(), 0);
             installRunner(entry, 0);
@@ -439,6 +434,11 @@
         return shares.usageOf(workspace, capacity, now);
     }
 
+    /** Returns what the workspaces that asked most lately asked and used, the largest first. */
+    public List<WorkspaceDemand> largestWorkspaces(int count, long now) {
+        return shares.largest(count, now);
+    }
+
     /** Records that a runner responded to a request, and whether that counts as a failure. */
     public void recordResponse(String identifier, boolean isFailure, long now) {
         runnerState(identifier).ifPresent(runner -> {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/Placement.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/Placement.java
@@ -45,6 +45,9 @@
     /** Retry time for a service without an eligible runner: about the time of a runner restart. */
     private static final double NO_RUNNER_RETRY_MILLIS = 500;
 
+    /** Makes a second random number of the draw of a request, which the first digits decide. */
+    private static final double INDEPENDENT_DRAW_FACTOR = 65_537;
+
     private static final double NANOS_PER_MILLI = 1e6;
 
     private final FleetLoad fleet;
@@ -92,6 +95,9 @@
         Admission admission = admissionControl.admissionOf(request, best.prefillTokens(), now);
         double allowed = admission.allowedMillis();
         Candidate chosen = best.predictedMillis() <= allowed ? best : bestWhenUrgent;
+        if (isYielded(request, admission)) {
+            return admissionControl.reject(chosen.predictedMillis(), admission);
+        }
         if (chosen.predictedMillis() > allowed && !request.isContinuation() && !hasSpareCapacity(service, chosen)) {
             return admissionControl.reject(chosen.predictedMillis(), admission);
         }
@@ -106,6 +112,15 @@
                 admission);
     }
 
+    /** Whether a request is one that its workspace yields to a worse served one; free runners don't change that. */
+    private static boolean isYielded(PlacementRequest request, Admission admission) {
+        if (request.prompt().isEmpty() || request.isContinuation()) {
+            return false;
+        }
+        double scaled = request.draw() * INDEPENDENT_DRAW_FACTOR;
+        return scaled - Math.floor(scaled) >= admission.usage().admittedFraction();
+    }
+
     /** Chooses the runner for the rest of a run whose prompt was read apart; empty if it should stay where it is. */
     public Optional<RunnerEntry> moveTarget(RunnerEntry source, PromptDescription prompt, long now) {
         return moveTarget.choose(source, prompt, now);
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/SlidingWindowSum.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/SlidingWindowSum.java
@@ -26,6 +26,27 @@
         return total;
     }
 
+    /** Returns the sum over the last parts of the window. */
+    double recentSum(int parts, long now) {
+        advance(now);
+        double total = 0;
+        for (int age = 0; age < parts; age++) {
+            total += buckets[slot(currentBucket - age)];
+        }
+        return total;
+    }
+
+    /** Whether something was added in each of the last parts of the window; the last one may have just begun. */
+    boolean isSteady(int parts, long now) {
+        advance(now);
+        for (int age = 1; age < parts; age++) {
+            if (buckets[slot(currentBucket - age)] == 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private void advance(long now) {
         long bucket = Math.floorDiv(now, bucketNanos);
         if (currentBucket == Long.MIN_VALUE) {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/WorkspaceShares.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/WorkspaceShares.java
@@ -1,17 +1,26 @@
 package org.mangowall.edge.decision;
 
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Compares the engine usage of each workspace with its max-min fair share of what all workspaces ask for.
  *
  * <p>What was turned away counts as asked: a workspace that is refused most of its requests still has a claim to its
  * share, and those that use more than theirs are rejected first.
+ *
+ * <p>A workspace may be held back by what no placement can change, such as the processor of the host at which all its
+ * callers enter. The others must not leave it far behind, although runners could serve them.
  */
 public final class WorkspaceShares {
 
     private static final int BUCKETS = 8;
+    /** Parts of the window that tell what a workspace asks now. */
+    private static final int RECENT_BUCKETS = 3;
     /** How long computed shares are cached. */
     private static final long RECOMPUTE_INTERVAL_NANOS = 100_000_000L;
 
@@ -21,6 +30,14 @@
      */
     private static final double SHARED_USAGE_FRACTION = 0.95;
 
+    /** Part of what a workspace asks that it must lack to count as one that waits. */
+    private static final double MIN_UNMET_FRACTION = 0.2;
+    /** How many times the usage of the worst served workspace that waits another one may use at most. */
+    private static final double MAX_BALANCE_RATIO = 1.5;
+
+    /** Part of that usage from which requests are thinned out. */
+    private static final double THINNING_START_FRACTION = 0.8;
+
     private final long windowNanos;
     private final Map<String, SlidingWindowSum> tokensByWorkspace = new HashMap<>();
     private final Map<String, Double> waitingByWorkspace = new HashMap<>();
@@ -28,6 +45,8 @@
     private long computedAt = Long.MIN_VALUE;
     private double ratedShare = Double.POSITIVE_INFINITY;
     private double currentShare = Double.POSITIVE_INFINITY;
+    /** What a workspace may use in the window, so that it doesn't leave a worse served one far behind. */
+    private double balancedShare = Double.POSITIVE_INFINITY;
 
     /** Creates the shares over a sliding window of this length. */
     public WorkspaceShares(long windowNanos) {
@@ -68,9 +87,46 @@
         if (computedAt == Long.MIN_VALUE || now - computedAt > RECOMPUTE_INTERVAL_NANOS) {
             recompute(ratedTokens, now);
         }
+        double tokens = usedTokens(workspace, now);
+        return tokens == 0
+                ? FairShareUsage.ZERO
+                : new FairShareUsage(
+                        tokens / ratedShare, tokens / currentShare, admittedFraction(workspace, tokens, now));
+    }
+
+    private double usedTokens(String workspace, long now) {
+        SlidingWindowSum used = tokensByWorkspace.get(workspace);
+        return waitingByWorkspace.getOrDefault(workspace, 0.0) + (used == null ? 0 : used.sum(now));
+    }
+
+    /** Thins the requests of a workspace out evenly, so that its usage doesn't swing with the delay of reports. */
+    private double admittedFraction(String workspace, double usedTokens, long now) {
+        if (usedTokens < THINNING_START_FRACTION * balancedShare) {
+            return 1;
+        }
         SlidingWindowSum used = tokensByWorkspace.get(workspace);
-        double tokens = waitingByWorkspace.getOrDefault(workspace, 0.0) + (used == null ? 0 : used.sum(now));
-        return tokens == 0 ? FairShareUsage.ZERO : new FairShareUsage(tokens / ratedShare, tokens / currentShare);
+        SlidingWindowSum turnedAway = turnedAwayByWorkspace.get(workspace);
+        double recentTokens = waitingByWorkspace.getOrDefault(workspace, 0.0)
+                + (used == null ? 0 : used.recentSum(RECENT_BUCKETS, now))
+                + (turnedAway == null ? 0 : turnedAway.recentSum(RECENT_BUCKETS, now));
+        return Math.min(1, balancedShare * RECENT_BUCKETS / BUCKETS / recentTokens);
+    }
+
+    /** Returns what the workspaces that asked most in the window asked and used, the largest first. */
+    List<WorkspaceDemand> largest(int count, long now) {
+        Set<String> names = new HashSet<>(waitingByWorkspace.keySet());
+        names.addAll(tokensByWorkspace.keySet());
+        names.addAll(turnedAwayByWorkspace.keySet());
+        return names.stream()
+                .map(name -> new WorkspaceDemand(name, usedTokens(name, now), turnedAwayTokens(name, now)))
+                .sorted(Comparator.comparingDouble(WorkspaceDemand::askedTokens).reversed())
+                .limit(count)
+                .toList();
+    }
+
+    private double turnedAwayTokens(String workspace, long now) {
+        SlidingWindowSum turnedAway = turnedAwayByWorkspace.get(workspace);
+        return turnedAway == null ? 0 : turnedAway.sum(now);
     }
 
     private void recompute(double ratedTokens, long now) {
@@ -88,9 +144,24 @@
                 .toArray();
         ratedShare = maxMinShare(claims, Math.min(ratedTokens, currentTokens));
         currentShare = maxMinShare(claims, currentTokens);
+        balancedShare = Math.max(ratedShare, MAX_BALANCE_RATIO * leastUsedByWaiting(now));
         computedAt = now;
     }
 
+    /** The least usage of a workspace that asks for more than its share and is turned away all the time. */
+    private double leastUsedByWaiting(long now) {
+        double least = Double.POSITIVE_INFINITY;
+        for (Map.Entry<String, SlidingWindowSum> entry : turnedAwayByWorkspace.entrySet()) {
+            double used = usedTokens(entry.getKey(), now);
+            double lacking = entry.getValue().sum(now);
+            boolean isWaiting = entry.getValue().isSteady(RECENT_BUCKETS, now)
+                    && used + lacking > ratedShare
+                    && lacking > MIN_UNMET_FRACTION * (used + lacking);
+            least = isWaiting ? Math.min(least, used) : least;
+        }
+        return least;
+    }
+
     /** Returns the highest cap per workspace at which all claims, each limited to the cap, fit into the capacity. */
     private static double maxMinShare(double[] claims, double capacityTokens) {
         double remaining = capacityTokens;
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
@@ -23,6 +23,7 @@
 import org.mangowall.edge.decision.CrashSuspect;
 import org.mangowall.edge.decision.FleetLoad;
 import org.mangowall.edge.decision.LoadEvent;
+import org.mangowall.edge.decision.WorkspaceDemand;
 import org.mangowall.edge.log.DecisionLog;
 import org.mangowall.edge.log.EdgeMetrics;
 import org.mangowall.edge.log.GuardedTask;
@@ -64,6 +65,7 @@
 
     private static final double NANOS_PER_SECOND = 1e9;
     private static final double NANOS_PER_MILLI = 1e6;
+    private static final int LOGGED_WORKSPACES = 3;
     private static final long CLOSE_TIMEOUT_MILLIS = 1_000;
     private static final long SHUTDOWN_CHECK_MILLIS = 50;
     /** Part of the grace period that is reserved for the process to exit. */
@@ -251,6 +253,7 @@
             writeTraffic(line, "caller", traffic.take(TrafficMeter.Endpoint.CALLER));
             writeTraffic(line, "runner", traffic.take(TrafficMeter.Endpoint.RUNNER));
             writeTraffic(line, "peer", traffic.take(TrafficMeter.Endpoint.PEER));
+            writeLargestWorkspaces(line);
         });
     }
 
@@ -260,6 +263,18 @@
         line.writeNumberField(endpoint + "BytesSent", counted.sent());
     }
 
+    private void writeLargestWorkspaces(JsonGenerator line) throws IOException {
+        line.writeArrayFieldStart("workspaces");
+        for (WorkspaceDemand demand : fleet.largestWorkspaces(LOGGED_WORKSPACES, System.nanoTime())) {
+            line.writeStartObject();
+            line.writeStringField("workspace", demand.workspace());
+            line.writeNumberField("usedTokens", Math.round(demand.usedTokens()));
+            line.writeNumberField("turnedAwayTokens", Math.round(demand.turnedAwayTokens()));
+            line.writeEndObject();
+        }
+        line.writeEndArray();
+    }
+
     private void logStoreAvailability(String change) {
         log.write("store", line -> line.writeStringField("change", change));
     }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/ExchangeLog.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/ExchangeLog.java
@@ -89,6 +89,7 @@
         line.writeNumberField("costTokens", exchange.costTokens());
         line.writeNumberField("shareLoad", rounded(admission.usage().ofRatedShare()));
         line.writeNumberField("currentShareLoad", rounded(admission.usage().ofCurrentShare()));
+        line.writeNumberField("admittedFraction", rounded(admission.usage().admittedFraction()));
     }
 
     private static double rounded(double ratio) {
--- a/mangowall-edge/src/test/java/org/mangowall/edge/decision/EngineSimulation.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/decision/EngineSimulation.java
@@ -35,6 +35,8 @@
     private final Map<String, Outcomes> outcomesByWorkspace = new HashMap<>();
     private final Map<String, Integer> sentByRunner = new HashMap<>();
     private long lastNumber;
+    private long firstHostIntervalNanos;
+    private long firstHostBusyUntil;
 
     EngineSimulation(int engines, double tokensPerSecond, long seed) {
         this(engines, tokensPerSecond, seed, 0);
@@ -69,6 +71,19 @@
                 0, new Host(first.name(), first.fleet(), first.placement(), first.delayMillis(), first.delayMillis()));
     }
 
+    /** Lets the first host refuse what exceeds the number of requests that its processor can forward. */
+    void limitFirstHost(double requestsPerSecond) {
+        firstHostIntervalNanos = (long) (1e9 / requestsPerSecond);
+    }
+
+    private boolean isHostBusy(Host host, long now) {
+        if (host != hosts.getFirst() || now >= firstHostBusyUntil) {
+            firstHostBusyUntil = host == hosts.getFirst() ? now + firstHostIntervalNanos : firstHostBusyUntil;
+            return false;
+        }
+        return true;
+    }
+
     /** Outcomes of a workspace's requests. */
     static final class Outcomes {
         private long requestedTokens;
@@ -164,6 +179,11 @@
         Outcomes outcomes = outcomesByWorkspace.computeIfAbsent(workspace, name -> new Outcomes());
         outcomes.requested += 1;
         outcomes.requestedTokens += prompt.costTokens();
+        if (isHostBusy(host, now)) {
+            outcomes.rejected += 1;
+            publish(host, new LoadEvent.TurnedAway(workspace, prompt.costTokens()), now);
+            return;
+        }
         PlacementDecision decision =
                 host.placement().decide(Fixtures.stream(workspace, prompt, random.nextDouble()), now);
         switch (decision) {
--- a/mangowall-edge/src/test/java/org/mangowall/edge/decision/PlacementLoadTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/decision/PlacementLoadTest.java
@@ -78,6 +78,22 @@
                 "crowded " + crowded.begunTokens() + " of " + crowded.requestedTokens() + ", large " + large);
     }
 
+    /** The processor of the host where all callers of one workspace enter bounds what it gets; others yield to it. */
+    @Test
+    void aWorkspaceThatItsHostHoldsBackIsNotLeftFarBehind() {
+        EngineSimulation simulation = new EngineSimulation(ENGINES, 250_000, 7, 0, 0, 0, 0, 0, 0);
+        simulation.limitFirstHost(60);
+        simulation.loadAtFirstHost("crowded", 80, 0, 18, random -> Fixtures.prompt(6_600, 380, random.nextLong()));
+        simulation.load("large", 250, 0, 18, random -> Fixtures.prompt(6_600, 380, random.nextInt(50)));
+        for (int index = 0; index < 14; index++) {
+            simulation.load("small-" + index, 1, 0, 18, random -> Fixtures.prompt(6_600, 380, random.nextLong()));
+        }
+        simulation.runToEnd();
+        long crowded = simulation.outcomes("crowded").begunTokens();
+        long large = simulation.outcomes("large").begunTokens();
+        assertTrue(crowded * 2 >= large, "crowded " + crowded + ", large " + large);
+    }
+
     /** A host whose own link delays everything by half a second has callers whom the idle runners can serve. */
     @Test
     void aHostDoesNotTakeItsOwnDelayForTheRunners() {
