Go on with deferred work after an unexpected error

The host went on to accept and read, and started no request any more, without a log line.

Each piece of work is guarded and logged as task-failed, like the host's other repeated tasks. The request itself stays unanswered until its caller leaves.

DeferredWorkTest.anErrorInOneRequestDoesNotStopTheOthers times out before and passes after.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/DeferredWork.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/DeferredWork.java
@@ -9,6 +9,8 @@
 import java.util.function.LongSupplier;
 
 import io.netty.channel.EventLoop;
+import org.mangowall.edge.log.DecisionLog;
+import org.mangowall.edge.log.GuardedTask;
 
 /**
  * Runs work on requests after the event loop has read everything that had arrived before.
@@ -29,6 +31,7 @@
 
     private final EventLoop loop;
     private final LongSupplier nanoClock;
+    private final DecisionLog log;
     /** Work that was added in this turn of the loop. */
     private final Deque<Runnable> newUrgent = new ArrayDeque<>();
 
@@ -40,9 +43,10 @@
     private long longestWaitNanos;
     private Runnable turnListener = () -> {};
 
-    DeferredWork(EventLoop loop, LongSupplier nanoClock) {
+    DeferredWork(EventLoop loop, LongSupplier nanoClock, DecisionLog log) {
         this.loop = loop;
         this.nanoClock = nanoClock;
+        this.log = log;
     }
 
     /** A request that has arrived, with the time at which it was added. */
@@ -114,7 +118,7 @@
     private void run() {
         long startedAt = nanoClock.getAsLong();
         while (hasReadyWork() && nanoClock.getAsLong() - startedAt < MAX_TURN_NANOS) {
-            runNext();
+            new GuardedTask(log, "deferred-work", this::runNext).run();
         }
         turnListener.run();
         isScheduled = hasReadyWork() || !newUrgent.isEmpty() || !newArrived.isEmpty();
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/EdgeContext.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/EdgeContext.java
@@ -69,7 +69,7 @@
         this.eventPublisher = eventPublisher;
         this.pathDelayMillis = pathDelayMillis;
         this.zone = zone;
-        this.deferredWork = new DeferredWork(loop, nanoClock);
+        this.deferredWork = new DeferredWork(loop, nanoClock, log);
         this.unseenDemand = new UnseenDemand(nanoClock.getAsLong());
         this.loopDelay = new LoopDelayMonitor(loop, nanoClock);
     }
