--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/Placement.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/Placement.java
@@ -45,7 +45,7 @@
     /** Retry time for a service without an eligible runner: about the time of a runner restart. */
     private static final double NO_RUNNER_RETRY_MILLIS = 500;
 
-    /** Makes a second random number of the draw of a request, which the first digits decide. */
+    /** Derives a second random number from the draw of a request, whose leading digits choose the runner. */
     private static final double INDEPENDENT_DRAW_FACTOR = 65_537;
 
     private static final double NANOS_PER_MILLI = 1e6;
@@ -95,7 +95,7 @@
         Admission admission = admissionControl.admissionOf(request, best.prefillTokens(), now);
         double allowed = admission.allowedMillis();
         Candidate chosen = best.predictedMillis() <= allowed ? best : bestWhenUrgent;
-        if (isYielded(request, admission)) {
+        if (yieldsToOthers(request, admission)) {
             return admissionControl.reject(chosen.predictedMillis(), admission);
         }
         if (chosen.predictedMillis() > allowed && !request.isContinuation() && !hasSpareCapacity(service, chosen)) {
@@ -112,8 +112,8 @@
                 admission);
     }
 
-    /** Whether a request is one that its workspace yields to a worse served one; free runners don't change that. */
-    private static boolean isYielded(PlacementRequest request, Admission admission) {
+    /** Whether a request is rejected for the sake of a worse served workspace, even if a runner is free. */
+    private static boolean yieldsToOthers(PlacementRequest request, Admission admission) {
         if (request.prompt().isEmpty() || request.isContinuation()) {
             return false;
         }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/overload/UnseenDemand.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/overload/UnseenDemand.java
@@ -14,7 +14,7 @@
 
     /** What arrived longer ago says nothing about now. */
     private static final long MAX_OPEN_NANOS = TimeUnit.SECONDS.toNanos(1);
-    /** What arrives in a shorter time may have waited for the gate to open. */
+    /** Lower bound of the time over which arrivals are averaged: some of them have waited for the gate to open. */
     private static final long MIN_OPEN_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
     private final Map<String, Long> arrivedTokens = new HashMap<>();
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/DeferredWork.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/DeferredWork.java
@@ -20,9 +20,9 @@
  * left. Deferred work runs after one more turn of the loop, in which the end of the connection is read, and for a
  * bounded time in each turn, so that the next end of a connection is read soon.
  *
- * <p>What the processor can't do waits here, and nowhere else is that time seen: the loop's own tasks run on time.
- * Requests that have been placed already go first; those that have just arrived wait for each workspace by itself, and
- * the workspaces take turns, so that one that floods the host delays only its own.
+ * <p>Work that exceeds the processor's capacity waits here, and no other measurement shows it: the loop's own tasks
+ * still run on time. Requests that were placed go first. Requests that have just arrived wait in a queue for each
+ * workspace, and the queues take turns, so that a workspace that floods the host delays only its own requests.
  */
 public final class DeferredWork {
 
