--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/FairShareUsage.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/FairShareUsage.java
@@ -5,7 +5,7 @@
  *
  * @param ofRatedShare multiple of its share of the rated throughput of the engines
  * @param ofCurrentShare multiple of its share of the current throughput
- * @param admittedFraction part of its requests that may be admitted beside a worse served workspace that waits
+ * @param admittedFraction part of its requests that may be admitted; below 1 in favour of a worse served workspace
  */
 public record FairShareUsage(double ofRatedShare, double ofCurrentShare, double admittedFraction) {
 
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/Placement.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/Placement.java
@@ -95,7 +95,7 @@
         Admission admission = admissionControl.admissionOf(request, best.prefillTokens(), now);
         double allowed = admission.allowedMillis();
         Candidate chosen = best.predictedMillis() <= allowed ? best : bestWhenUrgent;
-        if (yieldsToOthers(request, admission)) {
+        if (isThrottled(request, admission)) {
             return admissionControl.reject(chosen.predictedMillis(), admission);
         }
         if (chosen.predictedMillis() > allowed && !request.isContinuation() && !hasSpareCapacity(service, chosen)) {
@@ -112,8 +112,8 @@
                 admission);
     }
 
-    /** Whether a request is rejected for the sake of a worse served workspace, even if a runner is free. */
-    private static boolean yieldsToOthers(PlacementRequest request, Admission admission) {
+    /** Whether a request is rejected in favour of a worse served workspace, even if a runner is free. */
+    private static boolean isThrottled(PlacementRequest request, Admission admission) {
         if (request.prompt().isEmpty() || request.isContinuation()) {
             return false;
         }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/WorkspaceShares.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/WorkspaceShares.java
@@ -13,8 +13,8 @@
  * <p>What was turned away counts as asked: a workspace that is refused most of its requests still has a claim to its
  * share, and those that use more than theirs are rejected first.
  *
- * <p>A workspace may be held back by what no placement can change, such as the processor of the host at which all its
- * callers enter. The others must not leave it far behind, although runners could serve them.
+ * <p>What a workspace gets may be bounded by something other than runners, such as the processor of the host at which
+ * all its callers enter. The others are then throttled, so that they don't get many times as much.
  */
 public final class WorkspaceShares {
 
@@ -32,11 +32,11 @@
 
     /** Part of what a workspace asks that it must lack to count as one that waits. */
     private static final double MIN_UNMET_FRACTION = 0.2;
-    /** How many times the usage of the worst served workspace that waits another one may use at most. */
+    /** The limit of usage as a multiple of the usage of the worst served workspace that waits. */
     private static final double MAX_BALANCE_RATIO = 1.5;
 
-    /** Part of that usage from which requests are thinned out. */
-    private static final double THINNING_START_FRACTION = 0.8;
+    /** Fraction of this limit from which requests are throttled. */
+    private static final double THROTTLING_START_FRACTION = 0.8;
 
     private final long windowNanos;
     private final Map<String, SlidingWindowSum> tokensByWorkspace = new HashMap<>();
@@ -45,8 +45,8 @@
     private long computedAt = Long.MIN_VALUE;
     private double ratedShare = Double.POSITIVE_INFINITY;
     private double currentShare = Double.POSITIVE_INFINITY;
-    /** What a workspace may use in the window, so that it doesn't leave a worse served one far behind. */
-    private double balancedShare = Double.POSITIVE_INFINITY;
+    /** The usage in the window above which a workspace is throttled in favour of a worse served one. */
+    private double throttlingLimit = Double.POSITIVE_INFINITY;
 
     /** Creates the shares over a sliding window of this length. */
     public WorkspaceShares(long windowNanos) {
@@ -99,9 +99,12 @@
         return waitingByWorkspace.getOrDefault(workspace, 0.0) + (used == null ? 0 : used.sum(now));
     }
 
-    /** Thins the requests of a workspace out evenly, so that its usage doesn't swing with the delay of reports. */
+    /**
+     * Returns the part of a workspace's requests to admit. A cap on its recent usage would make it oscillate: the hosts
+     * hear of each other's requests with a delay, in which far more than the cap may arrive.
+     */
     private double admittedFraction(String workspace, double usedTokens, long now) {
-        if (usedTokens < THINNING_START_FRACTION * balancedShare) {
+        if (usedTokens < THROTTLING_START_FRACTION * throttlingLimit) {
             return 1;
         }
         SlidingWindowSum used = tokensByWorkspace.get(workspace);
@@ -109,7 +112,7 @@
         double recentTokens = waitingByWorkspace.getOrDefault(workspace, 0.0)
                 + (used == null ? 0 : used.recentSum(RECENT_BUCKETS, now))
                 + (turnedAway == null ? 0 : turnedAway.recentSum(RECENT_BUCKETS, now));
-        return Math.min(1, balancedShare * RECENT_BUCKETS / BUCKETS / recentTokens);
+        return Math.min(1, throttlingLimit * RECENT_BUCKETS / BUCKETS / recentTokens);
     }
 
     /** Returns what the workspaces that asked most in the window asked and used, the largest first. */
@@ -144,7 +147,7 @@
                 .toArray();
         ratedShare = maxMinShare(claims, Math.min(ratedTokens, currentTokens));
         currentShare = maxMinShare(claims, currentTokens);
-        balancedShare = Math.max(ratedShare, MAX_BALANCE_RATIO * leastUsedByWaiting(now));
+        throttlingLimit = Math.max(ratedShare, MAX_BALANCE_RATIO * leastUsedByWaiting(now));
         computedAt = now;
     }
 
--- a/mangowall-edge/src/main/java/org/mangowall/edge/overload/EntryGate.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/overload/EntryGate.java
@@ -42,8 +42,8 @@
     }
 
     /**
-     * Opens or closes the gate, also by the requests that have arrived and wait. That is known without measuring it for
-     * a while, and to read and refuse what comes meanwhile takes processor time from serving what waits.
+     * Opens or closes the gate, also by the requests that have arrived and wait. This closes it without delay, because
+     * reading and refusing further requests takes processor time from those that wait.
      *
      * @param queueMillis how long the oldest request has been waiting for the processor
      * @param delayMillis the delay of this host's own path and processing
--- a/mangowall-edge/src/main/java/org/mangowall/edge/overload/UnseenDemand.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/overload/RefusedDemandEstimate.java
@@ -5,12 +5,12 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Estimates what callers ask for while a host refuses their connections, by what arrived while it accepted them.
+ * Estimates what callers ask for while this host refuses their connections, by the rate of arrivals before.
  *
- * <p>Load: a large workspace enters at one host, which refuses most of its connections. Nobody reads those requests,
- * and without an estimate the workspace seems to ask for what it gets.
+ * <p>Load: a large workspace enters at one host, which refuses most of its connections. Those requests are never read,
+ * so without an estimate the workspace seems to ask for no more than it gets.
  */
-public final class UnseenDemand {
+public final class RefusedDemandEstimate {
 
     /** What arrived longer ago says nothing about now. */
     private static final long MAX_OPEN_NANOS = TimeUnit.SECONDS.toNanos(1);
@@ -23,12 +23,12 @@
     private long openNanos;
 
     /** Begins with a host that accepts connections. */
-    public UnseenDemand(long now) {
+    public RefusedDemandEstimate(long now) {
         changedAt = now;
     }
 
     /** Records a request that has arrived. */
-    public void arrived(String workspace, long costTokens, long now) {
+    public void recordArrival(String workspace, long costTokens, long now) {
         if (!isOpen) {
             return;
         }
@@ -40,20 +40,20 @@
     }
 
     /** The host refuses connections from now on. */
-    public void closed(long now) {
+    public void entryClosed(long now) {
         isOpen = false;
         openNanos = Math.max(MIN_OPEN_NANOS, now - changedAt);
         changedAt = now;
     }
 
-    /** The host accepts connections again; returns what each workspace has asked for meanwhile, in tokens. */
-    public Map<String, Long> opened(long now) {
+    /** The host accepts connections again; returns the estimate for each workspace, in tokens. */
+    public Map<String, Long> entryOpened(long now) {
         double ratio = (double) (now - changedAt) / openNanos;
-        Map<String, Long> unseen = new HashMap<>();
-        arrivedTokens.forEach((workspace, tokens) -> unseen.put(workspace, Math.round(tokens * ratio)));
+        Map<String, Long> estimated = new HashMap<>();
+        arrivedTokens.forEach((workspace, tokens) -> estimated.put(workspace, Math.round(tokens * ratio)));
         isOpen = true;
         changedAt = now;
         arrivedTokens.clear();
-        return unseen;
+        return estimated;
     }
 }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/EdgeContext.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/EdgeContext.java
@@ -15,7 +15,7 @@
 import org.mangowall.edge.log.EdgeMetrics;
 import org.mangowall.edge.log.TrafficMeter;
 import org.mangowall.edge.model.RouteTable;
-import org.mangowall.edge.overload.UnseenDemand;
+import org.mangowall.edge.overload.RefusedDemandEstimate;
 import org.mangowall.edge.wire.HttpMessageCodec;
 
 /** State and services shared by all requests of a host; confined to the network thread. */
@@ -35,7 +35,7 @@
     private final DoubleSupplier pathDelayMillis;
     private final String zone;
     private final DeferredWork deferredWork;
-    private final UnseenDemand unseenDemand;
+    private final RefusedDemandEstimate refusedDemand;
     private final LoopDelayMonitor loopDelay;
     private final Lifecycle lifecycle = new Lifecycle();
     private final Map<String, SharedRetryBudget> retryBudgets = new HashMap<>();
@@ -70,7 +70,7 @@
         this.pathDelayMillis = pathDelayMillis;
         this.zone = zone;
         this.deferredWork = new DeferredWork(loop, nanoClock, log);
-        this.unseenDemand = new UnseenDemand(nanoClock.getAsLong());
+        this.refusedDemand = new RefusedDemandEstimate(nanoClock.getAsLong());
         this.loopDelay = new LoopDelayMonitor(loop, nanoClock);
     }
 
@@ -111,18 +111,18 @@
         return deferredWork;
     }
 
-    UnseenDemand unseenDemand() {
-        return unseenDemand;
+    RefusedDemandEstimate refusedDemand() {
+        return refusedDemand;
     }
 
     /** This host accepts the connections of callers again, or refuses them from now on. */
     public void entryChanged(boolean isOpen) {
         if (!isOpen) {
-            unseenDemand.closed(now());
+            refusedDemand.entryClosed(now());
             return;
         }
-        unseenDemand
-                .opened(now())
+        refusedDemand
+                .entryOpened(now())
                 .forEach((workspace, costTokens) -> publish(new LoadEvent.TurnedAway(workspace, costTokens)));
     }
 
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RequestArrival.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RequestArrival.java
@@ -42,7 +42,7 @@
         }
         String workspace = exchange.workspace().orElse("");
         if (!workspace.isEmpty() && exchange.costTokens() > 0) {
-            context.unseenDemand().arrived(workspace, exchange.costTokens(), context.now());
+            context.refusedDemand().recordArrival(workspace, exchange.costTokens(), context.now());
         }
         double waitMillis = context.deferredWork().delayNanos(workspace) / Exchange.NANOS_PER_MILLI;
         if (waitMillis > bearableWaitMillis()) {
--- a/mangowall-edge/src/test/java/org/mangowall/edge/overload/EntryGateTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/overload/EntryGateTest.java
@@ -86,7 +86,7 @@
         assertTrue(gate.update(2 * BOUND_MILLIS, BOUND_MILLIS, 1_150 * MILLI));
     }
 
-    /** What waits for the processor closes the gate at once: nothing has to be measured. */
+    /** Requests that wait for the processor close and open the gate without a minimum time in between. */
     @Test
     void aLongQueueClosesTheGateAtOnce() {
         EntryGate gate = new EntryGate(0);
--- a/mangowall-edge/src/test/java/org/mangowall/edge/traffic/CrowdedHostTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/traffic/CrowdedHostTest.java
@@ -42,7 +42,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards against requests that wait for a host's processor where nothing measures them (issue 38). */
+/** Guards against requests that wait for a host's processor longer than a response is of use to their callers. */
 @Timeout(60)
 class CrowdedHostTest {
 
--- a/mangowall-edge/src/test/java/org/mangowall/edge/traffic/DeferredWorkTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/traffic/DeferredWorkTest.java
@@ -31,7 +31,7 @@
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
     }
 
-    /** An unexpected error while one request is started left all later requests waiting for ever. */
+    /** An unexpected error in one request must not keep the others waiting. */
     @Test
     void anErrorInOneRequestDoesNotStopTheOthers() throws Exception {
         CountDownLatch hasRun = new CountDownLatch(1);
