--- a/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/decision/FleetLoad.java
@@ -15,20 +15,21 @@
 import org.mangowall.edge.model.RouteTable;
 import org.mangowall.edge.model.RunnerEntry;
 
-/** One host's estimate of the load on all runners, from the events of all hosts; used by one thread only. */
+/**
+ * One host's estimate of the load on all runners, from its own requests and the events of the other hosts.
+ *
+ * <p>Not thread-safe: used by one thread only.
+ */
 public final class FleetLoad {
 
     /** Added to the reported cold time of a runner, because its entry may be that old. */
     private static final long COLD_MARGIN_NANOS = 200_000_000L;
-    /** Requests of other hosts that are older than this are dropped: their end event was lost. */
-    private static final long IN_FLIGHT_EXPIRY_NANOS = 20_000_000_000L;
 
     private final String self;
     private final Map<String, RunnerState> runners = new HashMap<>();
     private final StatedRateLimits rateLimits = new StatedRateLimits(runners);
     private final StatedLoads statedLoads = new StatedLoads(runners);
     private final Map<String, ServiceState> services = new HashMap<>();
-    private final Map<String, Map<Long, InFlightRequest>> inFlightByHost = new HashMap<>();
     /** Parts that other hosts reported as cached at runners that the store hasn't listed yet. */
     private final Map<String, LoadEvent.PartsCached> cachedBeforeListing = new HashMap<>();
 
@@ -36,6 +37,7 @@
     private final Set<String> closedZones = new HashSet<>();
     private final CrashQuarantine quarantine;
     private final WorkspaceShares shares;
+    private final InFlightRequests inFlight;
     private Collection<String> hosts;
     private double tokensPerSecond;
     private RouteTable table;
@@ -51,6 +53,7 @@
         this.hosts = List.of(self);
         this.quarantine = new CrashQuarantine(self);
         this.shares = new WorkspaceShares(shareWindowNanos);
+        this.inFlight = new InFlightRequests(shares);
     }
 
     /** Installs a version of the configuration and recreates runners whose cache size it changes. */
@@ -235,7 +238,6 @@
 
     /** Applies an event of this host or another host. */
     public void apply(String host, LoadEvent event, long now) {
-        Map<Long, InFlightRequest> inFlight = inFlightByHost.computeIfAbsent(host, name -> new HashMap<>());
         switch (event) {
             case LoadEvent.Sent sent -> {
                 sent.stream().ifPresent(origin -> streamOrigins.record(origin, now));
@@ -243,20 +245,14 @@
                 if (runner == null) {
                     sent.workspace().ifPresent(name -> shares.record(name, sent.costTokens(), now));
                 } else {
-                    end(inFlight.remove(sent.number()));
-                    begin(inFlight, new InFlightRequest(sent, runner, now));
+                    inFlight.begin(host, sent, runner, now);
                     runner.coldStartLimiter().recordSent(hosts.size(), coldRate(runner), now);
                     runner.rateLimiter().recordSent(now);
                     service(runner.entry().service()).recordPrompt(sent.prefillTokens(), now);
                 }
             }
-            case LoadEvent.ResponseStarted started -> {
-                InFlightRequest request = inFlight.get(started.number());
-                if (request != null && !request.hasResponseStarted()) {
-                    markResponseStarted(request, now);
-                }
-            }
-            case LoadEvent.Ended ended -> ended(host, inFlight.remove(ended.number()), ended, now);
+            case LoadEvent.ResponseStarted started -> inFlight.markResponseStarted(host, started.number(), now);
+            case LoadEvent.Ended ended -> ended(host, ended, now);
             case LoadEvent.Quarantined quarantined -> quarantine.adopt(quarantined, now);
             case LoadEvent.RunnerLeaving leaving ->
                 runnerState(leaving.runner()).ifPresent(RunnerState::markLeaving);
@@ -282,47 +278,23 @@
      *     started
      */
     public void applySnapshot(String host, List<LoadEvent> running, long now) {
-        Map<Long, InFlightRequest> inFlight = inFlightByHost.computeIfAbsent(host, name -> new HashMap<>());
         Set<Long> numbers = new HashSet<>();
         for (LoadEvent event : running) {
             if (event instanceof LoadEvent.Sent sent) {
                 numbers.add(sent.number());
-                if (inFlight.containsKey(sent.number())) {
+                if (inFlight.contains(host, sent.number())) {
                     continue;
                 }
                 sent.stream().ifPresent(origin -> streamOrigins.record(origin, now));
                 RunnerState runner = runners.get(sent.runner());
                 if (runner != null) {
-                    begin(inFlight, new InFlightRequest(sent, runner, now));
+                    inFlight.begin(host, sent, runner, now);
                 }
             } else {
                 apply(host, event, now);
             }
         }
-        inFlight.entrySet().removeIf(entry -> {
-            boolean hasEnded = !numbers.contains(entry.getKey());
-            if (hasEnded) {
-                end(entry.getValue());
-            }
-            return hasEnded;
-        });
-    }
-
-    private void begin(Map<Long, InFlightRequest> inFlight, InFlightRequest request) {
-        inFlight.put(request.sent().number(), request);
-        request.runner().begin(request);
-        LoadEvent.Sent sent = request.sent();
-        sent.workspace().ifPresent(name -> shares.beginWait(name, sent.costTokens()));
-    }
-
-    private void markResponseStarted(InFlightRequest request, long now) {
-        request.runner().markPromptProcessed(request);
-        request.markResponseStarted();
-        LoadEvent.Sent sent = request.sent();
-        sent.workspace().ifPresent(name -> {
-            shares.endWait(name, sent.costTokens());
-            shares.record(name, sent.costTokens(), now);
-        });
+        inFlight.retain(host, numbers);
     }
 
     private void recordCachedParts(LoadEvent.PartsCached partsCached) {
@@ -339,11 +311,11 @@
         return service(runner.entry().service()).coldRequestsPerSecond();
     }
 
-    private void ended(String host, InFlightRequest request, LoadEvent.Ended ended, long now) {
-        end(request);
-        if (request == null) {
-            return;
-        }
+    private void ended(String host, LoadEvent.Ended ended, long now) {
+        inFlight.end(host, ended.number()).ifPresent(request -> recordOutcome(host, request, ended, now));
+    }
+
+    private void recordOutcome(String host, InFlightRequest request, LoadEvent.Ended ended, long now) {
         switch (ended.outcome()) {
             case COMPLETE -> quarantine.recordComplete(request, ended.fingerprint(), host, now);
             case LOST -> quarantine.recordLost(request, ended.fingerprint(), host, hosts.size(), now);
@@ -353,23 +325,9 @@
         }
     }
 
-    private void end(InFlightRequest request) {
-        if (request == null) {
-            return;
-        }
-        request.runner().end(request);
-        LoadEvent.Sent sent = request.sent();
-        if (!request.hasResponseStarted()) {
-            sent.workspace().ifPresent(name -> shares.endWait(name, sent.costTokens()));
-        }
-    }
-
     /** Drops all in-flight requests of a host that left the fleet. */
     public void dropHost(String host) {
-        Map<Long, InFlightRequest> inFlight = inFlightByHost.remove(host);
-        if (inFlight != null) {
-            inFlight.values().forEach(this::end);
-        }
+        inFlight.dropHost(host);
     }
 
     /**
@@ -379,31 +337,12 @@
     public void dropExpired(long now) {
         cachedBeforeListing.clear();
         quarantine.dropExpired(now);
-        for (Map.Entry<String, Map<Long, InFlightRequest>> entry : inFlightByHost.entrySet()) {
-            if (entry.getKey().equals(self)) {
-                continue;
-            }
-            entry.getValue().values().removeIf(request -> {
-                boolean isExpired = now - request.sentAt() > IN_FLIGHT_EXPIRY_NANOS;
-                if (isExpired) {
-                    end(request);
-                }
-                return isExpired;
-            });
-        }
+        inFlight.dropExpired(self, now);
     }
 
     /** Returns this host's in-flight requests as events, for its full report to other hosts. */
     public List<LoadEvent> ownInFlightRequests() {
-        List<LoadEvent> events = new ArrayList<>();
-        for (InFlightRequest request :
-                inFlightByHost.getOrDefault(self, Map.of()).values()) {
-            events.add(request.sent());
-            if (request.hasResponseStarted()) {
-                events.add(new LoadEvent.ResponseStarted(request.sent().number()));
-            }
-        }
-        return events;
+        return inFlight.eventsOf(self);
     }
 
     /** Returns the estimated number of requests that a runner runs for all hosts; 0 when it isn't listed. */
