--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -23,10 +23,25 @@
 
     private record Change(String kind, Stored object, boolean isDeleted, long revision) {}
 
+    /** The rate of the sheet, {@code platform.reads_per_s}. */
+    private static final int READS_PER_SECOND = 2_000;
+    private static final String GONE = "gone";
+    private static final String AWAY = "away";
+
     private final HttpServer server;
     private final Map<String, TreeMap<String, Stored>> objects = new HashMap<>();
     private final List<Change> history = new ArrayList<>();
     private long revision = 100;
+    private int era = 1;
+    private boolean isAway;
+    private long secondStartedAt = System.nanoTime();
+    private int readsInSecond;
+    private long reads;
+
+    /** A copy of everything at one moment. */
+    private record Copy(Map<String, TreeMap<String, Stored>> objects, List<Change> history, long revision) {}
+
+    private Copy copy;
 
     Store() throws IOException {
         server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
@@ -57,6 +72,51 @@
         }
     }
 
+    /** Makes the copy to which {@link #restoreCopy} returns. */
+    synchronized long makeCopy() {
+        Map<String, TreeMap<String, Stored>> copied = new HashMap<>();
+        objects.forEach((kind, stored) -> copied.put(kind, new TreeMap<>(stored)));
+        copy = new Copy(copied, List.copyOf(history), revision);
+        return revision;
+    }
+
+    /** All calls get 503 from now on; waiting watches end. */
+    synchronized void goAway() {
+        isAway = true;
+        notifyAll();
+    }
+
+    /** The store is back with the copy: revisions go back and are given out again. */
+    synchronized void restoreCopy() {
+        objects.clear();
+        objects.putAll(copy.objects());
+        history.clear();
+        history.addAll(copy.history());
+        revision = copy.revision();
+        era += 1;
+        isAway = false;
+    }
+
+    synchronized long revision() {
+        return revision;
+    }
+
+    /** The number of reading calls, refused ones included. */
+    synchronized long reads() {
+        return reads;
+    }
+
+    private synchronized boolean isRefused(boolean isRead) {
+        long now = System.nanoTime();
+        if (now - secondStartedAt > 1_000_000_000L) {
+            secondStartedAt = now;
+            readsInSecond = 0;
+        }
+        readsInSecond += isRead ? 1 : 0;
+        reads += isRead ? 1 : 0;
+        return readsInSecond > READS_PER_SECOND;
+    }
+
     private void handle(HttpExchange exchange) throws IOException {
         try (exchange) {
             String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
@@ -68,7 +128,10 @@
             }
             int status = 200;
             String answer = "{}";
-            switch (exchange.getRequestMethod()) {
+            String method = exchange.getRequestMethod();
+            switch (isRefused(method.equals("GET")) ? "refused" : isAway() ? AWAY : method) {
+                case "refused" -> status = 429;
+                case AWAY -> status = 503;
                 case "GET" -> answer = query.containsKey("watch") ? watch(path[0], query) : list(path[0], query);
                 case "POST" -> {
                     String name = field(body, "name");
@@ -91,6 +154,11 @@
                 }
                 default -> status = 405;
             }
+            if (answer.equals(GONE) || answer.equals(AWAY)) {
+                status = answer.equals(GONE) ? 410 : 503;
+                answer = "{}";
+            }
+            exchange.getResponseHeaders().set("Store-Era", Integer.toString(era()));
             byte[] bytes = answer.getBytes(StandardCharsets.UTF_8);
             exchange.getResponseHeaders().set("Content-Type", "application/json");
             exchange.sendResponseHeaders(status, bytes.length);
@@ -98,6 +166,14 @@
         }
     }
 
+    private synchronized boolean isAway() {
+        return isAway;
+    }
+
+    private synchronized int era() {
+        return era;
+    }
+
     private static String field(String body, String name) {
         int start = body.indexOf("\"" + name + "\":\"") + name.length() + 4;
         return body.substring(start, body.indexOf('"', start));
@@ -120,6 +196,12 @@
         long from = Long.parseLong(query.get("watch"));
         long until = System.nanoTime() + Long.parseLong(query.get("wait_ms")) * 1_000_000;
         while (true) {
+            if (isAway) {
+                return AWAY;
+            }
+            if (from > revision) {
+                return GONE;
+            }
             List<String> events = history.stream()
                     .filter(change -> change.kind().equals(kind) && change.revision() > from)
                     .map(change -> "{\"tombstone\":" + change.isDeleted() + ",\"object\":" + change.object().json() + "}")
