--- a/review/standins/Fleet.java
+++ b/review/standins/Fleet.java
@@ -73,7 +73,8 @@
         }
         for (Host host : hosts) {
             if (!host.awaitReady(30)) {
-                write("%s isn't ready", host.name);
+                write("%s isn't ready; its process is %s", host.name, host.process.isAlive() ? "running" : "gone");
+                host.lastOutput().forEach(line -> write("%s", line));
                 exit(2);
             }
         }
--- a/review/standins/Host.java
+++ b/review/standins/Host.java
@@ -1,4 +1,5 @@
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -8,10 +9,17 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** A host of the system, started as a process with the command of the deploy file. */
 final class Host implements AutoCloseable {
 
+    private static final int FIRST_PORT = 12_000;
+    private static final int PORT_COUNT = 18_000;
+    /** Depends on the process, so that concurrent runs start at different ports. */
+    private static final AtomicInteger NEXT_PORT =
+            new AtomicInteger((int) (ProcessHandle.current().pid() * 1_009 % PORT_COUNT));
+
     final String name;
     final int callerPort;
     final int directoryPort;
@@ -61,10 +69,18 @@
                 name, callerPort, directoryPort, readyPort, peerPort, seedText, freePort(), storePort));
     }
 
+    /** Returns a port that is free now and below the range from which the system takes those of outgoing connections. */
     static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
+        for (int tried = 0; tried < PORT_COUNT; tried++) {
+            int port = FIRST_PORT + Math.floorMod(NEXT_PORT.getAndIncrement(), PORT_COUNT);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return socket.getLocalPort();
+            } catch (BindException taken) {
+                // The next port may be free.
+                continue;
+            }
         }
+        throw new BindException("no port is free");
     }
 
     /** The command of the deploy file, with the settings file behind it. */
@@ -130,6 +146,16 @@
         return false;
     }
 
+    /** The last lines of the output, for a host that doesn't become ready. */
+    List<String> lastOutput() {
+        try {
+            List<String> lines = Files.readAllLines(log);
+            return lines.subList(Math.max(0, lines.size() - 5), lines.size());
+        } catch (IOException failure) {
+            return List.of();
+        }
+    }
+
     /** The first lines of the output that are no lines of the structured log, such as stack traces. */
     List<String> otherOutput() {
         try (var lines = Files.lines(log)) {
