--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,8 +3,8 @@
 set -uo pipefail
 cd "$(dirname "$0")/../.." || exit 2
 . ./find-jdk.sh || exit 2
-[ -x target/runtime/bin/java ] && [ -d review/target/classes ] || { echo "build first: deploy/build and review/build.sh" >&2; exit 2; }
-timeout --kill-after=3 114 "$JAVA_HOME/bin/java" -Xmx1g -cp review/target/classes SettingsChange review/5/record.txt
+[ -x target/runtime/bin/java ] && [ -d review/.classes ] || { echo "build first: deploy/build and review/build.sh" >&2; exit 2; }
+timeout --kill-after=3 114 "$JAVA_HOME/bin/java" -Xmx1g -cp review/.classes SettingsChange review/5/record.txt
 code=$?
 tail -n 1 review/5/record.txt
 [ "$code" -le 1 ] || code=2
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 . ./find-jdk.sh
-rm -rf review/target
-mkdir -p review/target/classes
-"$JAVA_HOME/bin/javac" -Xlint:all -d review/target/classes review/standins/*.java review/[1-5]/*.java
+rm -rf review/.classes
+mkdir -p review/.classes
+"$JAVA_HOME/bin/javac" -Xlint:all -d review/.classes review/*.java review/[1-5]/*.java
