Keep signals that come while a host starts until it is up

SIGTERM there ended it without a line, and would have cut requests that had been accepted between the binding of the addresses and the installation of the handler.

Cause: EdgeMain installed its handlers after Edge.start(). Until then a signal had the effect of the kernel (up to 40 ms after the process began, here) or of the Java runtime (status 129 or 143, up to some 280 ms).

Ruled out: that the handler itself ends the process while the settings file is being written; it reads the file only once the host is up.

Change: ProcessSignals.receive() is the first statement of main. A host that is asked to end before it has bound an address ends with status 0 and the line start-cancelled.

What remains: a signal before main's first statement, for some 95 ms here.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/EdgeMain.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/EdgeMain.java
@@ -14,6 +14,7 @@
 import org.mangowall.edge.wire.PlatformAdapter;
 import org.mangowall.kernel.failure.MangowallException;
 import org.mangowall.kernel.plugin.PluginRegistry;
+import org.mangowall.kernel.signal.ProcessSignals;
 
 /** The entry point of the program {@code mangowall-edge}. */
 public final class EdgeMain {
@@ -47,16 +48,17 @@
 
     /** Runs a host until the process receives a termination signal; invalid settings exit with code 2. */
     public static void main(String[] arguments) {
+        ProcessSignals signals = ProcessSignals.receive();
         NETTY_MEMORY_PROPERTIES.forEach(
                 (property, value) -> System.getProperties().putIfAbsent(property, value));
-        System.exit(run(arguments, System.out, System.err));
+        System.exit(run(arguments, signals, System.out, System.err));
     }
 
-    static int run(String[] arguments, PrintStream out, PrintStream err) {
+    static int run(String[] arguments, ProcessSignals signals, PrintStream out, PrintStream err) {
         EdgeMain parsed = new EdgeMain();
         if (arguments.length == 0 && parsed.settingsFile != null) {
             // The parser would take a fifth of the start, by reflection.
-            return parsed.runWithSettings(out, err);
+            return parsed.runWithSettings(signals, out, err);
         }
         JCommander commander =
                 JCommander.newBuilder().programName(PROGRAM).addObject(parsed).build();
@@ -72,10 +74,10 @@
             (parsed.isHelp ? out : err).print(help);
             return parsed.isHelp ? EXIT_OK : EXIT_INVALID_SETTINGS;
         }
-        return parsed.runWithSettings(out, err);
+        return parsed.runWithSettings(signals, out, err);
     }
 
-    private int runWithSettings(PrintStream out, PrintStream err) {
+    private int runWithSettings(ProcessSignals signals, PrintStream out, PrintStream err) {
         EdgeSettings settings;
         PlatformAdapter adapter;
         try {
@@ -91,11 +93,16 @@
         }
         try (DecisionLog log =
                 new DecisionLog(new FileOutputStream(FileDescriptor.out), Clock.systemUTC(), settings.name())) {
-            return runUntilShutdown(settings, adapter, log);
+            return runUntilShutdown(settings, adapter, signals, log);
         }
     }
 
-    private int runUntilShutdown(EdgeSettings settings, PlatformAdapter adapter, DecisionLog log) {
+    private int runUntilShutdown(
+            EdgeSettings settings, PlatformAdapter adapter, ProcessSignals signals, DecisionLog log) {
+        if (signals.isStopPending()) {
+            log.write("start-cancelled", line -> line.writeStringField("reason", "the process was asked to end"));
+            return EXIT_OK;
+        }
         Edge edge = new Edge(settings, adapter, log);
         try {
             edge.start();
@@ -103,9 +110,8 @@
             log.write("start-failed", line -> line.writeStringField("reason", failure.getMessage()));
             return EXIT_FAILED;
         }
-        Signals.handle("TERM", edge::beginShutdown);
-        Signals.handle("INT", edge::beginShutdown);
-        Signals.handle("HUP", () -> reload(log));
+        signals.onStop(edge::beginShutdown);
+        signals.onReload(() -> reload(log));
         if (isTraining) {
             loadClasses(adapter);
             edge.beginShutdown();
--- /dev/null
+++ b/mangowall-kernel/src/main/java/org/mangowall/kernel/signal/package-info.java
@@ -0,0 +1,2 @@
+/** The operating system's signals to this process. */
+package org.mangowall.kernel.signal;
--- /dev/null
+++ b/mangowall-kernel/src/test/java/org/mangowall/kernel/signal/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the signals to this process. */
+package org.mangowall.kernel.signal;
