Keep signals that come while a router starts until it is up

Operators saw a router end by SIGHUP at any time (status 129), and by SIGTERM during its start without its graceful shutdown: its addresses were bound before the shutdown hook was added, so requests that it had accepted were cut.

Cause: a shutdown hook added after Router.start(), and no handler of SIGHUP. The end by a hook has status 143, which systemd takes for a failure unless told otherwise.

Change: ProcessSignals as in mangowall-edge. SIGHUP checks the changed settings and logs the outcome. A router that is asked to end leaves, closes and ends with status 0.

Looked at and left: mangowall and mangowall-standin end by each signal at any time, which is right for programs in the foreground that read their settings once (probed at 100 to 2,500 ms: status 129 or 143, no trace).

--- a/mangowall-router/src/main/java/org/mangowall/router/RouterMain.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/RouterMain.java
@@ -8,6 +8,8 @@
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.ParameterException;
 import org.mangowall.kernel.failure.MangowallException;
+import org.mangowall.kernel.log.ComponentLog;
+import org.mangowall.kernel.signal.ProcessSignals;
 
 /** Entry point of the program {@code mangowall-router}. */
 public final class RouterMain {
@@ -26,16 +28,14 @@
 
     /** Runs a router until the process is terminated; exits with code 2 on invalid arguments or settings. */
     public static void main(String[] arguments) {
+        ProcessSignals signals = ProcessSignals.receive();
         System.setProperty("java.util.logging.manager", "org.jboss.logmanager.LogManager");
         NETTY_ALLOCATOR_DEFAULTS.forEach(
                 (property, value) -> System.getProperties().putIfAbsent(property, value));
-        int exitCode = run(arguments, System.out, System.err);
-        if (exitCode != EXIT_OK) {
-            System.exit(exitCode);
-        }
+        System.exit(run(arguments, signals, System.out, System.err));
     }
 
-    static int run(String[] arguments, PrintStream out, PrintStream err) {
+    static int run(String[] arguments, ProcessSignals signals, PrintStream out, PrintStream err) {
         RouterArguments parsed = new RouterArguments();
         JCommander commander =
                 JCommander.newBuilder().programName(PROGRAM).addObject(parsed).build();
@@ -51,10 +51,10 @@
             (parsed.help() ? out : err).print(help);
             return parsed.help() ? EXIT_OK : EXIT_INVALID_SETTINGS;
         }
-        return runParsed(parsed, out, err);
+        return runParsed(parsed, signals, out, err);
     }
 
-    private static int runParsed(RouterArguments arguments, PrintStream out, PrintStream err) {
+    private static int runParsed(RouterArguments arguments, ProcessSignals signals, PrintStream out, PrintStream err) {
         RouterSettings settings;
         try {
             settings = RouterSettingsReader.read(Path.of(arguments.settings()));
@@ -68,7 +68,7 @@
         }
         LogSetup.apply(settings.log());
         try {
-            runUntilTermination(settings);
+            runUntilTermination(settings, Path.of(arguments.settings()), signals);
             return EXIT_OK;
         } catch (MangowallException failure) {
             err.println(PROGRAM + ": " + failure.failureCode().code() + ": " + failure.getMessage());
@@ -76,23 +76,30 @@
         }
     }
 
-    private static void awaitTermination() {
-        try {
-            new CountDownLatch(1).await();
+    private static void runUntilTermination(RouterSettings settings, Path settingsFile, ProcessSignals signals) {
+        ComponentLog log = ComponentLog.of("router");
+        if (signals.isStopPending()) {
+            log.info("the start is cancelled: the process was asked to end");
+            return;
+        }
+        try (Router router = Router.start(settings)) {
+            CountDownLatch stopRequested = new CountDownLatch(1);
+            signals.onStop(stopRequested::countDown);
+            signals.onReload(() -> checkChangedSettings(settingsFile, log));
+            stopRequested.await();
+            router.leave().join();
         } catch (InterruptedException interruption) {
             Thread.currentThread().interrupt();
         }
     }
 
-    private static void runUntilTermination(RouterSettings settings) {
-        Router router = Router.start(settings);
-        Runtime.getRuntime()
-                .addShutdownHook(new Thread(
-                        () -> {
-                            router.leave().join();
-                            router.close();
-                        },
-                        "mangowall-shutdown"));
-        awaitTermination();
+    /** Validates the changed file; a running router applies changed settings only when it restarts. */
+    private static void checkChangedSettings(Path settingsFile, ComponentLog log) {
+        try {
+            RouterSettingsReader.read(settingsFile);
+            log.info("the changed settings are good and take effect at the next start");
+        } catch (MangowallException failure) {
+            log.warn("the changed settings can't be used: %s", failure.getMessage());
+        }
     }
 }
