Read settings again that were replaced while they were read

Callers would see a host or router later than it could serve: one that starts while its settings file is being replaced reads a part of it and ends with exit code 2.

Cause: the start trusted one reading, and SIGHUP had no effect on it.

Ruled out: that the signal alone ends the process; with whole settings it goes on.

Wrong settings that nobody replaces still end the process with status 2.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/EdgeMain.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/EdgeMain.java
@@ -78,11 +78,9 @@
     }
 
     private int runWithSettings(ProcessSignals signals, PrintStream out, PrintStream err) {
-        EdgeSettings settings;
-        PlatformAdapter adapter;
+        Configured configured;
         try {
-            settings = EdgeSettingsReader.read(Path.of(settingsFile));
-            adapter = PluginRegistry.load(PlatformAdapter.class).find(settings.adapter());
+            configured = isCheckOnly ? configure() : signals.readSettings(this::configure);
         } catch (MangowallException failure) {
             err.println(PROGRAM + ": " + failure.getMessage());
             return EXIT_INVALID_SETTINGS;
@@ -91,12 +89,21 @@
             out.println(PROGRAM + ": the settings are good");
             return EXIT_OK;
         }
-        try (DecisionLog log =
-                new DecisionLog(new FileOutputStream(FileDescriptor.out), Clock.systemUTC(), settings.name())) {
-            return runUntilShutdown(settings, adapter, signals, log);
+        String host = configured.settings().name();
+        try (DecisionLog log = new DecisionLog(new FileOutputStream(FileDescriptor.out), Clock.systemUTC(), host)) {
+            return runUntilShutdown(configured.settings(), configured.adapter(), signals, log);
         }
     }
 
+    private Configured configure() {
+        EdgeSettings settings = EdgeSettingsReader.read(Path.of(settingsFile));
+        return new Configured(
+                settings, PluginRegistry.load(PlatformAdapter.class).find(settings.adapter()));
+    }
+
+    /** The settings and the adapter that they select. */
+    private record Configured(EdgeSettings settings, PlatformAdapter adapter) {}
+
     private int runUntilShutdown(
             EdgeSettings settings, PlatformAdapter adapter, ProcessSignals signals, DecisionLog log) {
         if (signals.isStopPending()) {
--- a/mangowall-kernel/src/main/java/org/mangowall/kernel/signal/DeferredAction.java
+++ b/mangowall-kernel/src/main/java/org/mangowall/kernel/signal/DeferredAction.java
@@ -1,5 +1,8 @@
 package org.mangowall.kernel.signal;
 
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+
 /**
  * An action that may be requested before it is known.
  *
@@ -9,13 +12,16 @@
 final class DeferredAction {
 
     private Runnable action;
+    private long requests;
     private boolean isRequested;
     private boolean isRunning;
 
     /** Runs the action on this thread, unless it is unknown or running: then whoever sets or runs it does. */
     void request() {
         synchronized (this) {
+            requests++;
             isRequested = true;
+            notifyAll();
         }
         runWhileRequested();
     }
@@ -33,6 +39,25 @@
         return isRequested;
     }
 
+    /** Returns the number of requests so far. */
+    synchronized long requests() {
+        return requests;
+    }
+
+    /** Waits for a request after the given number of them; returns false if none comes in time. */
+    synchronized boolean awaitRequest(long previousRequests, Duration timeout) {
+        long deadline = System.nanoTime() + timeout.toNanos();
+        try {
+            for (long left = timeout.toNanos(); requests == previousRequests && left > 0; ) {
+                TimeUnit.NANOSECONDS.timedWait(this, left);
+                left = deadline - System.nanoTime();
+            }
+        } catch (InterruptedException interruption) {
+            Thread.currentThread().interrupt();
+        }
+        return requests != previousRequests;
+    }
+
     private void runWhileRequested() {
         for (Runnable next = takeRequest(); next != null; next = takeRequest()) {
             try {
--- a/mangowall-kernel/src/main/java/org/mangowall/kernel/signal/ProcessSignals.java
+++ b/mangowall-kernel/src/main/java/org/mangowall/kernel/signal/ProcessSignals.java
@@ -1,6 +1,8 @@
 package org.mangowall.kernel.signal;
 
 import java.lang.reflect.Proxy;
+import java.time.Duration;
+import java.util.function.Supplier;
 
 import org.mangowall.kernel.failure.FailureCode;
 import org.mangowall.kernel.failure.MangowallException;
@@ -16,6 +18,9 @@
  */
 public final class ProcessSignals {
 
+    /** Time in which the signal follows a change of the settings file. */
+    private static final Duration CHANGE_TIMEOUT = Duration.ofMillis(500);
+
     private final DeferredAction stop = new DeferredAction();
     private final DeferredAction reload = new DeferredAction();
 
@@ -59,6 +64,32 @@
         reload.request();
     }
 
+    /**
+     * Reads the settings, and again if a reload is requested meanwhile: a file that is replaced may be incomplete.
+     * A failure of the reader is final only if no request to reload follows.
+     *
+     * @throws MangowallException of the reader
+     */
+    public <T> T readSettings(Supplier<T> reader) {
+        return readSettings(reader, CHANGE_TIMEOUT);
+    }
+
+    <T> T readSettings(Supplier<T> reader, Duration changeTimeout) {
+        while (true) {
+            long requests = reload.requests();
+            try {
+                T settings = reader.get();
+                if (reload.requests() == requests) {
+                    return settings;
+                }
+            } catch (MangowallException failure) {
+                if (!reload.awaitRequest(requests, changeTimeout)) {
+                    throw failure;
+                }
+            }
+        }
+    }
+
     /** Returns whether a request to stop waits for its action. */
     public boolean isStopPending() {
         return stop.isPending();
--- a/mangowall-router/src/main/java/org/mangowall/router/RouterMain.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/RouterMain.java
@@ -55,9 +55,12 @@
     }
 
     private static int runParsed(RouterArguments arguments, ProcessSignals signals, PrintStream out, PrintStream err) {
+        Path settingsFile = Path.of(arguments.settings());
         RouterSettings settings;
         try {
-            settings = RouterSettingsReader.read(Path.of(arguments.settings()));
+            settings = arguments.check()
+                    ? RouterSettingsReader.read(settingsFile)
+                    : signals.readSettings(() -> RouterSettingsReader.read(settingsFile));
         } catch (MangowallException failure) {
             err.println(PROGRAM + ": " + failure.getMessage());
             return EXIT_INVALID_SETTINGS;
@@ -68,7 +71,7 @@
         }
         LogSetup.apply(settings.log());
         try {
-            runUntilTermination(settings, Path.of(arguments.settings()), signals);
+            runUntilTermination(settings, settingsFile, signals);
             return EXIT_OK;
         } catch (MangowallException failure) {
             err.println(PROGRAM + ": " + failure.failureCode().code() + ": " + failure.getMessage());
