End or keep a duty that an error hits, and the process with it

Cause: guards caught exceptions but not errors, and nothing watched a thread's end.

Change: GuardedTask, Duty and the writer of the decision log go on after an Error. The end of a network thread, of hosts and routers, ends the process with status 1, and so does an unexpected failure of the main thread. SIGTERM ends a host before its grace period is over whatever its network thread does. What libraries log becomes a line of the decision log, which needs no descriptor. LoadLog is Edge's, moved out as it was.

DutyTest.aFailureThatCanNotBeLogged passed before.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/log/DecisionLog.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/log/DecisionLog.java
@@ -102,7 +102,7 @@
         try {
             batch.writeTo(output);
             output.flush();
-        } catch (IOException failure) {
+        } catch (IOException | RuntimeException | Error failure) {
             // The failure can't be logged: this output is the log.
             dropped.incrementAndGet();
         }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/log/GuardedTask.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/log/GuardedTask.java
@@ -3,7 +3,8 @@
 /**
  * A task that logs an unexpected error and returns.
  *
- * <p>An executor silently stops to repeat a task that throws: one bad message would end a duty of the host for good.
+ * <p>An executor silently stops to repeat a task that throws: one bad message would end a duty of the host for good. An
+ * {@link Error} is no reason to end it either; most concern one task, such as a class that can't be loaded just now.
  */
 public final class GuardedTask implements Runnable {
 
@@ -26,7 +27,7 @@
     public void run() {
         try {
             task.run();
-        } catch (RuntimeException unexpected) {
+        } catch (RuntimeException | Error unexpected) {
             log.write("task-failed", line -> {
                 line.writeStringField("task", name);
                 line.writeStringField("reason", unexpected.toString());
@@ -35,7 +36,7 @@
         }
     }
 
-    private static StackTraceElement firstFrame(RuntimeException unexpected) {
+    private static StackTraceElement firstFrame(Throwable unexpected) {
         StackTraceElement[] frames = unexpected.getStackTrace();
         return frames.length == 0 ? null : frames[0];
     }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
@@ -1,6 +1,5 @@
 package org.mangowall.edge.program;
 
-import java.io.IOException;
 import java.time.Clock;
 import java.util.ArrayList;
 import java.util.List;
@@ -8,7 +7,6 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
-import com.fasterxml.jackson.core.JsonGenerator;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -23,7 +21,6 @@
 import org.mangowall.edge.decision.CrashSuspect;
 import org.mangowall.edge.decision.FleetLoad;
 import org.mangowall.edge.decision.LoadEvent;
-import org.mangowall.edge.decision.WorkspaceDemand;
 import org.mangowall.edge.log.DecisionLog;
 import org.mangowall.edge.log.EdgeMetrics;
 import org.mangowall.edge.log.GuardedTask;
@@ -63,9 +60,7 @@
     /** Shorter delays of the event loop are ordinary. */
     private static final double MIN_BEARABLE_DELAY_MILLIS = 100;
 
-    private static final double NANOS_PER_SECOND = 1e9;
     private static final double NANOS_PER_MILLI = 1e6;
-    private static final int LOGGED_WORKSPACES = 3;
     private static final long CLOSE_TIMEOUT_MILLIS = 1_000;
     private static final long SHUTDOWN_CHECK_MILLIS = 50;
     /** Time in which the final responses of requests that were still running are sent. */
@@ -78,9 +73,11 @@
     private final TrafficMeter traffic = new TrafficMeter();
     private final EventLoopGroup group = new NioEventLoopGroup(1);
     private final EventLoop loop = group.next();
+    private final CountDownLatch stopRequested = new CountDownLatch(1);
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final Random random = new Random();
     private final FleetLoad fleet;
+    private final LoadLog loadLog;
     private final StoreMirror mirror;
     private final StoreAvailability storeAvailability;
     private final RunnerRegistry runnerRegistry;
@@ -93,6 +90,8 @@
     private CallerConnections callers;
     private CallerListener callerListener;
     private long shutdownStartedAt;
+    private volatile boolean hasFailed;
+    private volatile boolean isClosing;
 
     /** Assembles the components without binding any address. */
     public Edge(EdgeSettings settings, PlatformAdapter adapter, DecisionLog log) {
@@ -107,6 +106,7 @@
                 settings.zone(),
                 settings.processors());
         this.fleet = new FleetLoad(settings.name(), settings.bounds().shareWindowNanos());
+        this.loadLog = new LoadLog(log, metrics, fleet, traffic);
         this.storeAvailability = new StoreAvailability(System.nanoTime());
         this.mirror = new StoreMirror(this::objectChanged, this::storeEraBegan);
         this.closedZones = new ClosedZones(fleet, storeAvailability);
@@ -119,6 +119,7 @@
 
     /** Binds all addresses and starts to accept requests; returns immediately. */
     public void start() {
+        loop.terminationFuture().addListener(ended -> networkThreadEnded());
         loop.submit(this::startOnLoop).syncUninterruptibly();
         callerListener = new CallerListener(
                 serverBootstrap(callers).localAddress(settings.callerAddress().toSocketAddress()),
@@ -245,39 +246,7 @@
 
     private void logLoad(long loopDelayNanos) {
         reportQuarantines();
-        metrics.recordDeferredWork(
-                context.deferredWork().size(), context.deferredWork().delayNanos() / NANOS_PER_SECOND);
-        log.write("load", line -> {
-            line.writeNumberField("loopDelayMillis", TimeUnit.NANOSECONDS.toMillis(loopDelayNanos));
-            line.writeNumberField(
-                    "deferredMillis",
-                    TimeUnit.NANOSECONDS.toMillis(context.deferredWork().takeLongestWaitNanos()));
-            line.writeNumberField("deferred", context.deferredWork().size());
-            line.writeNumberField("activeRequests", callers.activeRequests());
-            line.writeNumberField("hosts", fleet.hostCount());
-            writeTraffic(line, "caller", traffic.take(TrafficMeter.Endpoint.CALLER));
-            writeTraffic(line, "runner", traffic.take(TrafficMeter.Endpoint.RUNNER));
-            writeTraffic(line, "peer", traffic.take(TrafficMeter.Endpoint.PEER));
-            writeLargestWorkspaces(line);
-        });
-    }
-
-    private static void writeTraffic(JsonGenerator line, String endpoint, TrafficMeter.Traffic counted)
-            throws IOException {
-        line.writeNumberField(endpoint + "BytesReceived", counted.received());
-        line.writeNumberField(endpoint + "BytesSent", counted.sent());
-    }
-
-    private void writeLargestWorkspaces(JsonGenerator line) throws IOException {
-        line.writeArrayFieldStart("workspaces");
-        for (WorkspaceDemand demand : fleet.largestWorkspaces(LOGGED_WORKSPACES, System.nanoTime())) {
-            line.writeStartObject();
-            line.writeStringField("workspace", demand.workspace());
-            line.writeNumberField("usedTokens", Math.round(demand.usedTokens()));
-            line.writeNumberField("turnedAwayTokens", Math.round(demand.turnedAwayTokens()));
-            line.writeEndObject();
-        }
-        line.writeEndArray();
+        loadLog.write(loopDelayNanos, context.deferredWork(), callers.activeRequests());
     }
 
     private void logKeptRunner(String identifier, String reason, long nanos) {
@@ -432,8 +401,23 @@
         });
     }
 
+    /** Without the network thread nothing is served or heard, so the process has to be started again. */
+    private void networkThreadEnded() {
+        if (isClosing) {
+            return;
+        }
+        hasFailed = true;
+        log.write("network-thread-ended", line -> line.writeBooleanField("isLeaving", stopRequested.getCount() == 0));
+        stopped.countDown();
+        stopRequested.countDown();
+    }
+
     /** Starts a graceful shutdown; returns immediately. */
     public void beginShutdown() {
+        stopRequested.countDown();
+        if (loop.isShuttingDown()) {
+            return;
+        }
         loop.execute(() -> {
             if (context.lifecycle().isLeaving()) {
                 return;
@@ -478,16 +462,27 @@
     /** Shuts down immediately and aborts the active requests. */
     @Override
     public void close() {
+        isClosing = true;
         group.shutdownGracefully(0, CLOSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).syncUninterruptibly();
         stopped.countDown();
+        stopRequested.countDown();
     }
 
-    /** Waits until a shutdown is complete. */
-    public void awaitShutdown() {
+    /**
+     * Waits until a shutdown is complete, or has to be given up at the end of the grace period.
+     *
+     * @return whether the host has ended in order
+     */
+    public boolean awaitShutdown() {
         try {
-            stopped.await();
+            stopRequested.await();
+            if (!stopped.await(shutdownSchedule().lastMillis(), TimeUnit.MILLISECONDS)) {
+                log.write("shutdown-timed-out", line -> line.writeStringField("reason", "the network thread is busy"));
+                return false;
+            }
         } catch (InterruptedException interruption) {
             Thread.currentThread().interrupt();
         }
+        return !hasFailed;
     }
 }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/EdgeMain.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/EdgeMain.java
@@ -11,6 +11,8 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import org.mangowall.edge.log.DecisionLog;
+import org.mangowall.edge.log.GuardedTask;
+import org.mangowall.edge.log.LibraryLogHandler;
 import org.mangowall.edge.wire.PlatformAdapter;
 import org.mangowall.kernel.failure.MangowallException;
 import org.mangowall.kernel.plugin.PluginRegistry;
@@ -51,7 +53,17 @@
         ProcessSignals signals = ProcessSignals.receive();
         NETTY_MEMORY_PROPERTIES.forEach(
                 (property, value) -> System.getProperties().putIfAbsent(property, value));
-        System.exit(run(arguments, signals, System.out, System.err));
+        System.exit(runGuarded(arguments, signals, System.out, System.err));
+    }
+
+    /** Lets an unexpected failure end the process, though the network thread is running. */
+    private static int runGuarded(String[] arguments, ProcessSignals signals, PrintStream out, PrintStream err) {
+        try {
+            return run(arguments, signals, out, err);
+        } catch (RuntimeException | Error unexpected) {
+            err.println(PROGRAM + ": " + unexpected);
+            return EXIT_FAILED;
+        }
     }
 
     static int run(String[] arguments, ProcessSignals signals, PrintStream out, PrintStream err) {
@@ -110,6 +122,7 @@
             log.write("start-cancelled", line -> line.writeStringField("reason", "the process was asked to end"));
             return EXIT_OK;
         }
+        LibraryLogHandler.install(log);
         Edge edge = new Edge(settings, adapter, log);
         try {
             edge.start();
@@ -118,15 +131,14 @@
             return EXIT_FAILED;
         }
         signals.onStop(edge::beginShutdown);
-        signals.onReload(() -> reload(log));
+        signals.onReload(new GuardedTask(log, "reload", () -> reload(log)));
         if (isTraining) {
             loadClasses(adapter);
             edge.beginShutdown();
         } else if (settings.isFirstStart()) {
             new JvmWarmUp(adapter.messages()).start(JvmWarmUp.COMPILING_REQUESTS);
         }
-        edge.awaitShutdown();
-        return EXIT_OK;
+        return edge.awaitShutdown() ? EXIT_OK : EXIT_FAILED;
     }
 
     private static void loadClasses(PlatformAdapter adapter) {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/ShutdownSchedule.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/ShutdownSchedule.java
@@ -26,4 +26,9 @@
         long margin = Math.min(EXIT_MARGIN.toMillis(), grace.toMillis() / MAX_EXIT_DIVISOR);
         return grace.toMillis() - margin;
     }
+
+    /** When the process exits whatever it still does; between the final responses and the end of the grace period. */
+    long lastMillis() {
+        return (finishingMillis() + grace.toMillis()) / 2;
+    }
 }
--- a/mangowall-edge/src/test/java/org/mangowall/edge/log/DecisionLogTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/log/DecisionLogTest.java
@@ -50,4 +50,40 @@
         released.countDown();
         log.close();
     }
+
+    /** Guards against a writer thread that ends unseen, so that nothing is logged any more. */
+    @Test
+    void anErrorOfTheOutputDoesNotStopTheWriter() {
+        ByteArrayOutputStream written = new ByteArrayOutputStream();
+        CountDownLatch hasFailed = new CountDownLatch(1);
+        OutputStream failing = new OutputStream() {
+            @Override
+            public void write(byte[] bytes, int offset, int length) {
+                if (hasFailed.getCount() > 0) {
+                    hasFailed.countDown();
+                    throw new NoClassDefFoundError("on purpose");
+                }
+                written.write(bytes, offset, length);
+            }
+
+            @Override
+            public void write(int value) {
+                written.write(value);
+            }
+        };
+        DecisionLog log = new DecisionLog(failing, CLOCK, "h");
+        log.write("first", line -> {});
+        awaitLatch(hasFailed);
+        log.write("second", line -> {});
+        log.close();
+        assertTrue(written.toString(StandardCharsets.UTF_8).contains("second"));
+    }
+
+    private static void awaitLatch(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException interruption) {
+            Thread.currentThread().interrupt();
+        }
+    }
 }
--- a/mangowall-edge/src/test/java/org/mangowall/edge/log/GuardedTaskTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/log/GuardedTaskTest.java
@@ -23,4 +23,18 @@
         assertTrue(line.contains("\"event\":\"task-failed\"") && line.contains("\"task\":\"duty\""), line);
         assertTrue(line.contains("IllegalStateException: unexpected"), line);
     }
+
+    /** Guards against a repeated task that an error ends unseen. */
+    @Test
+    void anErrorIsLoggedAndDoesNotLeaveTheTask() {
+        ByteArrayOutputStream output = new ByteArrayOutputStream();
+        try (DecisionLog log = new DecisionLog(output, Clock.systemUTC(), "h")) {
+            new GuardedTask(log, "duty", () -> {
+                        throw new NoClassDefFoundError("on purpose");
+                    })
+                    .run();
+        }
+        String line = output.toString(StandardCharsets.UTF_8);
+        assertTrue(line.contains("NoClassDefFoundError: on purpose"), line);
+    }
 }
--- a/mangowall-kernel/src/main/java/org/mangowall/kernel/duty/Duty.java
+++ b/mangowall-kernel/src/main/java/org/mangowall/kernel/duty/Duty.java
@@ -11,8 +11,8 @@
  * A thread that handles events from a bounded queue, one at a time.
  *
  * <p>{@link #offer} never blocks and returns whether the event was accepted; the caller decides what to do when the
- * queue is full. Events are handled in the order in which they were offered. An exception of the handler is logged and
- * the thread continues with the next event.
+ * queue is full. Events are handled in the order in which they were offered. An exception or error of the handler
+ * is logged and the thread continues with the next event.
  *
  * @param <E> the type of the events
  */
@@ -27,6 +27,7 @@
     private final long tickNanos;
     private final Thread thread;
     private final AtomicLong refusedEvents = new AtomicLong();
+    private final AtomicLong failedReports = new AtomicLong();
     private volatile boolean running = true;
     private volatile boolean parked;
 
@@ -75,6 +76,11 @@
         return refusedEvents.get();
     }
 
+    /** The number of failures of the handler that could not be logged. */
+    public long failedReports() {
+        return failedReports.get();
+    }
+
     /** The thread's name without the prefix {@code mangowall-}. */
     public String name() {
         return name;
@@ -139,16 +145,25 @@
     private void runHandler(E event) {
         try {
             handler.handle(event);
-        } catch (RuntimeException failure) {
-            LOG.error(failure, "%s failed to handle an event", name);
+        } catch (RuntimeException | Error failure) {
+            report(failure, "%s failed to handle an event");
         }
     }
 
     private void runTick() {
         try {
             handler.tick();
-        } catch (RuntimeException failure) {
-            LOG.error(failure, "%s failed to handle a tick", name);
+        } catch (RuntimeException | Error failure) {
+            report(failure, "%s failed to handle a tick");
+        }
+    }
+
+    /** Logs a failure; what ended the handler may make logging fail too, which doesn't end the thread either. */
+    private void report(Throwable failure, String format) {
+        try {
+            LOG.error(failure, format, name);
+        } catch (RuntimeException | Error unlogged) {
+            failedReports.incrementAndGet();
         }
     }
 }
--- a/mangowall-kernel/src/test/java/org/mangowall/kernel/duty/DutyTest.java
+++ b/mangowall-kernel/src/test/java/org/mangowall/kernel/duty/DutyTest.java
@@ -5,6 +5,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.Test;
 
@@ -57,4 +58,62 @@
         done.await();
         duty.close();
     }
+
+    /** Guards against a duty that ends unseen, so that the process goes on without it. */
+    @Test
+    void anErrorOfTheHandlerDoesNotStopTheThread() throws InterruptedException {
+        CountDownLatch done = new CountDownLatch(1);
+        Duty<Integer> duty = new Duty<Integer>("failing", 8, TICK, event -> {
+                    if (event == 1) {
+                        throw new NoClassDefFoundError("on purpose");
+                    }
+                    done.countDown();
+                })
+                .start();
+        duty.offer(1);
+        duty.offer(2);
+        assertTrue(done.await(30, TimeUnit.SECONDS));
+        duty.close();
+    }
+
+    /** Guards against a duty that ends unseen, so that the process goes on without it. */
+    @Test
+    void anErrorOfATickDoesNotStopTheThread() throws InterruptedException {
+        CountDownLatch ticks = new CountDownLatch(2);
+        Duty<Integer> duty = new Duty<>("failing", 8, TICK, new DutyHandler<Integer>() {
+                    @Override
+                    public void handle(Integer event) {}
+
+                    @Override
+                    public void tick() {
+                        ticks.countDown();
+                        throw new NoClassDefFoundError("on purpose");
+                    }
+                })
+                .start();
+        assertTrue(ticks.await(30, TimeUnit.SECONDS));
+        duty.close();
+    }
+
+    /** Guards against a duty that ends because its failure can't be logged, for instance without descriptors. */
+    @Test
+    void aFailureThatCanNotBeLoggedDoesNotStopTheThread() throws InterruptedException {
+        CountDownLatch done = new CountDownLatch(1);
+        Duty<Integer> duty = new Duty<Integer>("failing", 8, TICK, event -> {
+                    if (event == 1) {
+                        throw new IllegalStateException("on purpose") {
+                            @Override
+                            public String toString() {
+                                throw new NoClassDefFoundError("on purpose");
+                            }
+                        };
+                    }
+                    done.countDown();
+                })
+                .start();
+        duty.offer(1);
+        duty.offer(2);
+        assertTrue(done.await(30, TimeUnit.SECONDS));
+        duty.close();
+    }
 }
--- a/mangowall-router/src/main/java/org/mangowall/router/Router.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/Router.java
@@ -130,6 +130,11 @@
         }
     }
 
+    /** Completes when a network thread ends while the router is not being closed; its connections are lost then. */
+    public CompletableFuture<Void> networkThreadEnd() {
+        return components.networkThreadEnd();
+    }
+
     /** Stops the router immediately; call {@link #leave} first to let open requests finish. */
     @Override
     public void close() {
--- a/mangowall-router/src/main/java/org/mangowall/router/RouterComponents.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/RouterComponents.java
@@ -3,11 +3,13 @@
 import java.io.IOException;
 import java.time.Clock;
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.EventExecutor;
 import org.mangowall.inventory.Inventory;
 import org.mangowall.kernel.duty.Duty;
 import org.mangowall.kernel.duty.DutyHandler;
@@ -67,7 +69,9 @@
     private final DecisionRecords records = new DecisionRecords(MAXIMUM_RECORDED_REQUESTS);
     private volatile boolean leaving;
     private volatile boolean draining;
+    private final CompletableFuture<Void> networkThreadEnd = new CompletableFuture<>();
     private volatile FleetMember self;
+    private volatile boolean isClosing;
     private int operatorPort;
 
     RouterComponents(RouterSettings settings, PlatformClient platform, Clock clock) {
@@ -146,7 +150,26 @@
         });
     }
 
+    private void watchNetworkThreads() {
+        for (EventExecutor networkThread : eventLoops) {
+            networkThread.terminationFuture().addListener(ended -> {
+                if (!isClosing) {
+                    networkThreadEnd.complete(null);
+                }
+            });
+        }
+    }
+
+    EventLoopGroup networkThreads() {
+        return eventLoops;
+    }
+
+    CompletableFuture<Void> networkThreadEnd() {
+        return networkThreadEnd;
+    }
+
     void start() {
+        watchNetworkThreads();
         int peerPort = peers.bind(settings.peerAddress().toSocketAddress());
         int callerPort = callerServer.bind(settings.callerAddress().toSocketAddress());
         operatorPort = operatorServer.bind(settings.operatorAddress().toSocketAddress());
@@ -252,6 +275,7 @@
 
     @Override
     public void close() {
+        isClosing = true;
         control.close();
         runnerCheckDuty.close();
         callerServer.close();
--- a/mangowall-router/src/main/java/org/mangowall/router/RouterMain.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/RouterMain.java
@@ -3,7 +3,7 @@
 import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.Map;
-import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.CompletableFuture;
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.ParameterException;
@@ -32,7 +32,17 @@
         System.setProperty("java.util.logging.manager", "org.jboss.logmanager.LogManager");
         NETTY_ALLOCATOR_DEFAULTS.forEach(
                 (property, value) -> System.getProperties().putIfAbsent(property, value));
-        System.exit(run(arguments, signals, System.out, System.err));
+        System.exit(runGuarded(arguments, signals, System.out, System.err));
+    }
+
+    /** Lets an unexpected failure end the process, though other threads are running. */
+    private static int runGuarded(String[] arguments, ProcessSignals signals, PrintStream out, PrintStream err) {
+        try {
+            return run(arguments, signals, out, err);
+        } catch (RuntimeException | Error unexpected) {
+            err.println(PROGRAM + ": " + unexpected);
+            return EXIT_FAILED;
+        }
     }
 
     static int run(String[] arguments, ProcessSignals signals, PrintStream out, PrintStream err) {
@@ -71,28 +81,34 @@
         }
         LogSetup.apply(settings.log());
         try {
-            runUntilTermination(settings, settingsFile, signals);
-            return EXIT_OK;
+            return runUntilTermination(settings, settingsFile, signals) ? EXIT_OK : EXIT_FAILED;
         } catch (MangowallException failure) {
             err.println(PROGRAM + ": " + failure.failureCode().code() + ": " + failure.getMessage());
             return EXIT_FAILED;
         }
     }
 
-    private static void runUntilTermination(RouterSettings settings, Path settingsFile, ProcessSignals signals) {
+    /** Returns whether the router has ended in order. */
+    private static boolean runUntilTermination(RouterSettings settings, Path settingsFile, ProcessSignals signals) {
         ComponentLog log = ComponentLog.of("router");
         if (signals.isStopPending()) {
             log.info("the start is cancelled: the process was asked to end");
-            return;
+            return true;
         }
         try (Router router = Router.start(settings)) {
-            CountDownLatch stopRequested = new CountDownLatch(1);
-            signals.onStop(stopRequested::countDown);
+            CompletableFuture<Void> stopRequested = new CompletableFuture<>();
+            signals.onStop(() -> stopRequested.complete(null));
             signals.onReload(() -> checkChangedSettings(settingsFile, log));
-            stopRequested.await();
-            router.leave().join();
-        } catch (InterruptedException interruption) {
-            Thread.currentThread().interrupt();
+            CompletableFuture<Void> networkThreadEnd = router.networkThreadEnd();
+            CompletableFuture.anyOf(stopRequested, networkThreadEnd).join();
+            if (stopRequested.isDone()) {
+                CompletableFuture.anyOf(router.leave(), networkThreadEnd).join();
+            }
+            if (networkThreadEnd.isDone()) {
+                log.warn("the process exits: a network thread has ended");
+                return false;
+            }
+            return true;
         }
     }
 
