--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/EdgeMain.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/EdgeMain.java
@@ -122,7 +122,6 @@
             log.write("start-cancelled", line -> line.writeStringField("reason", "the process was asked to end"));
             return EXIT_OK;
         }
-        LibraryLogHandler.install(log);
         Edge edge = new Edge(settings, adapter, log);
         try {
             edge.start();
@@ -130,6 +129,7 @@
             log.write("start-failed", line -> line.writeStringField("reason", failure.getMessage()));
             return EXIT_FAILED;
         }
+        LibraryLogHandler.install(log);
         signals.onStop(edge::beginShutdown);
         signals.onReload(new GuardedTask(log, "reload", () -> reload(log)));
         if (isTraining) {
