Send final responses before a short grace period's last resort

With a grace period under 1.2 s a host gave its shutdown up (status 1) while final responses were still being sent: their 150 ms did not follow from the period. ShutdownScheduleTest.finalResponsesAreSentBefore... covers 0.5 to 60 s; at 8 s only the last resort moves, from 7.65 to 7.77 s.

An unexpected failure of the main thread is printed with its stack trace.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
@@ -63,8 +63,6 @@
     private static final double NANOS_PER_MILLI = 1e6;
     private static final long CLOSE_TIMEOUT_MILLIS = 1_000;
     private static final long SHUTDOWN_CHECK_MILLIS = 50;
-    /** Time in which the final responses of requests that were still running are sent. */
-    private static final long FINAL_RESPONSES_MILLIS = 150;
 
     private final EdgeSettings settings;
     private final PlatformAdapter adapter;
@@ -448,7 +446,7 @@
             stop(0);
         } else if (elapsedMillis >= shutdownSchedule().finishingMillis()) {
             callers.endRequests();
-            loop.schedule(() -> stop(busy), FINAL_RESPONSES_MILLIS, TimeUnit.MILLISECONDS);
+            loop.schedule(() -> stop(busy), shutdownSchedule().finalResponsesMillis(), TimeUnit.MILLISECONDS);
         } else {
             loop.schedule(this::stopWhenIdle, SHUTDOWN_CHECK_MILLIS, TimeUnit.MILLISECONDS);
         }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/EdgeMain.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/EdgeMain.java
@@ -61,7 +61,7 @@
         try {
             return run(arguments, signals, out, err);
         } catch (RuntimeException | Error unexpected) {
-            err.println(PROGRAM + ": " + unexpected);
+            unexpected.printStackTrace(err);
             return EXIT_FAILED;
         }
     }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/ShutdownSchedule.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/ShutdownSchedule.java
@@ -16,6 +16,12 @@
     /** The margin takes at most this part of a short grace period. */
     private static final int MAX_EXIT_DIVISOR = 4;
 
+    private static final Duration MAX_FINAL_RESPONSES = Duration.ofMillis(150);
+    /** The part of a short margin in which final responses are sent. */
+    private static final int FINAL_RESPONSES_DIVISOR = 4;
+    /** The part of the margin that is left when the process exits whatever it does. */
+    private static final int LAST_DIVISOR = 3;
+
     /** How long new requests are accepted. */
     long acceptingMillis() {
         return Math.round(grace.toMillis() * ACCEPTING_FRACTION);
@@ -23,12 +29,20 @@
 
     /** When requests that still run get their final response. */
     long finishingMillis() {
-        long margin = Math.min(EXIT_MARGIN.toMillis(), grace.toMillis() / MAX_EXIT_DIVISOR);
-        return grace.toMillis() - margin;
+        return grace.toMillis() - exitMarginMillis();
+    }
+
+    /** Time in which final responses are sent. */
+    long finalResponsesMillis() {
+        return Math.min(MAX_FINAL_RESPONSES.toMillis(), exitMarginMillis() / FINAL_RESPONSES_DIVISOR);
     }
 
-    /** When the process exits whatever it still does; between the final responses and the end of the grace period. */
+    /** When the process exits whatever it still does. */
     long lastMillis() {
-        return (finishingMillis() + grace.toMillis()) / 2;
+        return grace.toMillis() - exitMarginMillis() / LAST_DIVISOR;
+    }
+
+    private long exitMarginMillis() {
+        return Math.min(EXIT_MARGIN.toMillis(), grace.toMillis() / MAX_EXIT_DIVISOR);
     }
 }
--- a/mangowall-edge/src/test/java/org/mangowall/edge/program/ShutdownScheduleTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/program/ShutdownScheduleTest.java
@@ -27,4 +27,14 @@
         assertEquals(2_800, schedule.acceptingMillis());
         assertEquals(7_300, schedule.finishingMillis());
     }
+
+    /** Guards against a shutdown that is given up while the final responses are being sent. */
+    @ParameterizedTest
+    @ValueSource(longs = {500, 800, 1_000, 1_500, 3_000, 8_000, 60_000})
+    void finalResponsesAreSentBeforeTheProcessExits(long graceMillis) {
+        ShutdownSchedule schedule = new ShutdownSchedule(Duration.ofMillis(graceMillis));
+        long checkedEvery = 50;
+        assertTrue(schedule.finishingMillis() + checkedEvery + schedule.finalResponsesMillis() < schedule.lastMillis());
+        assertTrue(schedule.lastMillis() < graceMillis);
+    }
 }
--- a/mangowall-router/src/main/java/org/mangowall/router/RouterMain.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/RouterMain.java
@@ -40,7 +40,7 @@
         try {
             return run(arguments, signals, out, err);
         } catch (RuntimeException | Error unexpected) {
-            err.println(PROGRAM + ": " + unexpected);
+            unexpected.printStackTrace(err);
             return EXIT_FAILED;
         }
     }
