--- a/mangowall-kernel/src/main/java/org/mangowall/kernel/duty/Duty.java
+++ b/mangowall-kernel/src/main/java/org/mangowall/kernel/duty/Duty.java
@@ -27,7 +27,6 @@
     private final long tickNanos;
     private final Thread thread;
     private final AtomicLong refusedEvents = new AtomicLong();
-    private final AtomicLong failedReports = new AtomicLong();
     private volatile boolean running = true;
     private volatile boolean parked;
 
@@ -76,11 +75,6 @@
         return refusedEvents.get();
     }
 
-    /** The number of failures of the handler that could not be logged. */
-    public long failedReports() {
-        return failedReports.get();
-    }
-
     /** The thread's name without the prefix {@code mangowall-}. */
     public String name() {
         return name;
@@ -158,12 +152,12 @@
         }
     }
 
-    /** Logs a failure; what ended the handler may make logging fail too, which doesn't end the thread either. */
+    /** Logs a failure. What made the handler fail may make the logger fail too, which must not end the thread. */
     private void report(Throwable failure, String format) {
         try {
             LOG.error(failure, format, name);
         } catch (RuntimeException | Error unlogged) {
-            failedReports.incrementAndGet();
+            System.err.println("mangowall-" + name + ": a failure can't be logged");
         }
     }
 }
