--- a/mangowall-kernel/src/main/java/org/mangowall/kernel/signal/ProcessSignals.java
+++ b/mangowall-kernel/src/main/java/org/mangowall/kernel/signal/ProcessSignals.java
@@ -32,7 +32,7 @@
     public static ProcessSignals receive() {
         ProcessSignals signals = new ProcessSignals();
         try {
-            // First the one that comes unasked while hosts are restarted.
+            // SIGHUP first: ending the process is wrong for it alone.
             handle("HUP", signals::requestReload);
             handle("TERM", signals::requestStop);
             handle("INT", signals::requestStop);
