--- a/review/6/LostRemoval.java
+++ b/review/6/LostRemoval.java
@@ -7,11 +7,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 
 /**
  * Half of the hosts lose power for two seconds, while another host is restarted in order and a runner is replaced.
@@ -28,7 +30,7 @@
     /** How long the old runner serves after its entry was removed. */
     private static final int SERVING_MILLIS = Integer.getInteger("serving", 9_000);
     /** The loss of power comes so long before the restarted host is expected to read the store. */
-    private static final int LEAD_MILLIS = 250;
+    private static final int LEAD_MILLIS = 170;
 
     private static final int DARK_MILLIS = 2_000;
 
@@ -102,10 +104,12 @@
                 ports.add(StandIns.Host.freePort());
             }
             long[] firstCallAt = new long[1];
+            AtomicReference<CountDownLatch> removal = new AtomicReference<>(new CountDownLatch(0));
             int portForRestarted = store.listenAlso(() -> {
                         if (firstCallAt[0] == 0) {
                             firstCallAt[0] = System.nanoTime();
                         }
+                        await(removal.get());
                     })
                     .getPort();
             List<String> names = rankedNames();
@@ -127,15 +131,16 @@
             }
             record.write("%d hosts are ready", HOSTS);
             Thread.sleep(3_000);
-            long startMillis = 0;
+            long startMillis = Long.MAX_VALUE;
             for (int restart = 0; restart < 2; restart++) {
                 restarted.terminate();
                 firstCallAt[0] = 0;
                 long startedAt = System.nanoTime();
                 restarted.start();
                 restarted.awaitReady();
-                startMillis = TimeUnit.NANOSECONDS.toMillis(firstCallAt[0] - startedAt);
-                record.write("%s was restarted in order; it reads the store after %d ms", restarted.name(), startMillis);
+                long tookMillis = TimeUnit.NANOSECONDS.toMillis(firstCallAt[0] - startedAt);
+                startMillis = Math.min(startMillis, tookMillis);
+                record.write("%s was restarted in order; it reads the store after %d ms", restarted.name(), tookMillis);
             }
             Thread.sleep(3_000);
             for (int number = 0; number < calm.size(); number++) {
@@ -147,13 +152,13 @@
             Thread.sleep(2_000);
 
             restarted.terminate();
+            // Should the host start sooner than before, the store answers it once the removal is acknowledged.
+            removal.set(new CountDownLatch(1));
             record.write("%s has ended in order and starts again", restarted.name());
             restarted.start();
             Thread.sleep(Math.max(0, startMillis - LEAD_MILLIS));
             if (StandIns.isTrouble()) {
-                for (StandIns.Host host : readers) {
-                    host.signal("STOP");
-                }
+                StandIns.Host.signal("STOP", readers);
                 record.write("%d of %d hosts lose power", READERS, HOSTS);
             }
             StandIns.Runner replacement = runner("i-new", arrivals, record);
@@ -161,12 +166,11 @@
             store.put("servers", replacement.identifier(), replacement.entry("ready", 1));
             store.delete("servers", old.identifier());
             double removedAt = record.seconds();
+            removal.get().countDown();
             record.write("the store acknowledges: the new runner is registered, the old one's entry is removed");
             Thread.sleep(DARK_MILLIS);
             if (StandIns.isTrouble()) {
-                for (StandIns.Host host : readers) {
-                    host.signal("KILL");
-                }
+                StandIns.Host.signal("KILL", readers);
                 Thread.sleep(100);
                 for (StandIns.Host host : readers) {
                     host.start();
@@ -255,6 +259,14 @@
         }
     }
 
+    private static void await(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException interruption) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private static void sleep(long millis) {
         try {
             TimeUnit.MILLISECONDS.sleep(millis);
--- a/review/StandIns.java
+++ b/review/StandIns.java
@@ -530,12 +530,24 @@
             Files.writeString(settings, settingsText(storePort, seeds));
         }
 
+        /** The first port of a range below Linux's ephemeral ports, which are given to outgoing connections. */
+        private static final int FIRST_PORT = 12_000;
+
+        private static final int PORT_COUNT = 18_000;
+        private static final AtomicInteger NEXT_PORT =
+                new AtomicInteger((int) (ProcessHandle.current().pid() * 1_009 % PORT_COUNT));
+
+        /** Returns a port that is free and that the system doesn't assign to outgoing connections. */
         static int freePort() {
-            try (ServerSocket socket = new ServerSocket(0, 1, LOOPBACK)) {
-                return socket.getLocalPort();
-            } catch (IOException failure) {
-                throw new java.io.UncheckedIOException(failure);
+            for (int tried = 0; tried < PORT_COUNT; tried++) {
+                int port = FIRST_PORT + Math.floorMod(NEXT_PORT.getAndIncrement(), PORT_COUNT);
+                try (ServerSocket socket = new ServerSocket(port, 1, LOOPBACK)) {
+                    return socket.getLocalPort();
+                } catch (IOException taken) {
+                    // Try the next one.
+                }
             }
+            throw new IllegalStateException("no port is free");
         }
 
         /** The template of the deploy file, filled in for a machine of the small deployment. */
@@ -650,18 +662,11 @@
             new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
         }
 
-        /** The memory of the process, in megabytes. */
-        long residentMegabytes() {
-            try {
-                for (String line : Files.readAllLines(Path.of("/proc/" + process.pid() + "/status"))) {
-                    if (line.startsWith("VmRSS:")) {
-                        return Long.parseLong(line.replaceAll("[^0-9]", "")) / 1024;
-                    }
-                }
-            } catch (IOException ended) {
-                // The process has ended.
-            }
-            return 0;
+        /** Sends a signal to some hosts at the same moment. */
+        static void signal(String signal, List<Host> hosts) throws IOException, InterruptedException {
+            List<String> command = new ArrayList<>(List.of("kill", "-" + signal));
+            hosts.forEach(host -> command.add(Long.toString(host.process.pid())));
+            new ProcessBuilder(command).start().waitFor();
         }
 
         @Override
