--- a/review/StandIns.java
+++ b/review/StandIns.java
@@ -606,14 +606,6 @@
             return name;
         }
 
-        long pid() {
-            return process.pid();
-        }
-
-        boolean isAlive() {
-            return process.isAlive();
-        }
-
         /** Tells the process to end in order, as the platform does, and waits for that. */
         void terminate() throws IOException, InterruptedException {
             signal("TERM");
@@ -622,14 +614,6 @@
             }
         }
 
-        int exitValue() {
-            return process.exitValue();
-        }
-
-        String output() throws IOException {
-            return Files.readString(log, StandardCharsets.ISO_8859_1);
-        }
-
         void awaitReady() throws IOException, InterruptedException {
             long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
             while (!isReady()) {
