--- a/review/StandIns.java
+++ b/review/StandIns.java
@@ -395,6 +395,7 @@
         private final Set<String> ran = ConcurrentHashMap.newKeySet();
         private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
         private final AtomicInteger running = new AtomicInteger();
+        private final long startedAtMillis = System.currentTimeMillis();
         private final Work work;
 
         Runner(String identifier, String service, int slots, Work work) throws IOException {
@@ -421,7 +422,7 @@
         String entry(String state, int sequence) {
             return "{\"service\":\"" + service + "\",\"address\":\"127.0.0.1:" + port() + "\",\"zone\":\"a\","
                     + "\"version\":\"v1\",\"slots\":" + slots + ",\"state\":\"" + state
-                    + "\",\"cold_left_ms\":0,\"sequence\":" + sequence + "}";
+                    + "\",\"cold_left_ms\":0,\"sequence\":" + sequence + ",\"born\":" + startedAtMillis + "}";
         }
 
         private void accept() {
