Tell a peer of deletions that the sender has never seen

Cause: a host that has just listed the runners holds no tombstone of what was removed before, but tells a peer "all changes after your position" with its own position. The peer takes itself for complete, and no other host tells it of the removal later. Ruled out: a postponed removal (no runner-kept line) and cut connections (the new runner arrives).

Change: the mirror knows from which position on no deletion is lacking. Before that, changes go with a fingerprint of all objects; a peer whose objects have another one asks for all of them. Peer protocol version 3; hosts of version 2 get all objects. New log line store-update.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/HostMessage.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/HostMessage.java
@@ -1,6 +1,7 @@
 package org.mangowall.edge.peer;
 
 import java.util.List;
+import java.util.OptionalLong;
 
 import org.mangowall.edge.decision.LoadEvent;
 import org.mangowall.edge.model.HostRecord;
@@ -46,10 +47,24 @@
      * @param after the position of the receiver, after which the objects changed
      * @param asOf the position up to which the receiver is complete for this kind after the update
      * @param objects the changed and deleted objects
+     * @param fingerprint stated if deletions may be missing: the fingerprint of all objects of the sender, which a
+     *     complete receiver shares
      */
-    record StoreObjects(ObjectKind kind, StorePosition after, StorePosition asOf, List<StoredObject> objects)
+    record StoreObjects(
+            ObjectKind kind,
+            StorePosition after,
+            StorePosition asOf,
+            List<StoredObject> objects,
+            OptionalLong fingerprint)
             implements HostMessage {}
 
+    /**
+     * Asks for all objects of a kind, since the sender of this message has others than {@link StoreObjects} tell.
+     *
+     * @param kind the kind of the objects
+     */
+    record AllObjectsRequest(ObjectKind kind) implements HostMessage {}
+
     /**
      * Acknowledges that messages arrive on the connection.
      *
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerCodec.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerCodec.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.mangowall.edge.model.HostRecord;
 import org.mangowall.edge.wire.ObjectKind;
@@ -23,9 +24,11 @@
 final class PeerCodec {
 
     /** The version of the peer protocol that this program speaks; hosts before the first one state none. */
-    static final int VERSION = 2;
+    static final int VERSION = 3;
     /** Hosts of this version or a later one accept compressed messages. */
     static final int COMPRESSION_VERSION = 1;
+    /** Hosts of this version or a later one compare fingerprints of the store's objects. */
+    static final int FINGERPRINT_VERSION = 3;
 
     private static final int MESSAGE_HELLO = 1;
     private static final int MESSAGE_REPORTS = 2;
@@ -33,6 +36,7 @@
     private static final int MESSAGE_ACKNOWLEDGEMENT = 4;
     private static final int MESSAGE_HANDOVER = 5;
     private static final int MESSAGE_COMPRESSED = 6;
+    private static final int MESSAGE_ALL_OBJECTS_REQUEST = 7;
     /** Shorter messages hardly become shorter. */
     private static final int MIN_COMPRESSED_BYTES = 256;
     /** Large enough for a complete configuration. */
@@ -78,6 +82,9 @@
                     LoadEventCodec.pack(packer, handover.events());
                 }
                 case HostMessage.StoreObjects objects -> packObjects(packer, objects);
+                case HostMessage.AllObjectsRequest request ->
+                    packer.packInt(MESSAGE_ALL_OBJECTS_REQUEST)
+                            .packString(request.kind().name());
                 case HostMessage.Acknowledgement acknowledgement ->
                     packer.packInt(MESSAGE_ACKNOWLEDGEMENT)
                             .packLong(acknowledgement.sentAt())
@@ -143,6 +150,9 @@
             packer.packBinaryHeader(object.content().length);
             packer.writePayload(object.content());
         }
+        if (objects.fingerprint().isPresent()) {
+            packer.packLong(objects.fingerprint().getAsLong());
+        }
     }
 
     private static void packPosition(MessageBufferPacker packer, StorePosition position) throws IOException {
@@ -176,6 +186,8 @@
                 case MESSAGE_REPORTS -> unpackReports(unpacker);
                 case MESSAGE_HANDOVER -> new HostMessage.Handover(LoadEventCodec.unpack(unpacker));
                 case MESSAGE_STORE_OBJECTS -> unpackObjects(unpacker);
+                case MESSAGE_ALL_OBJECTS_REQUEST ->
+                    new HostMessage.AllObjectsRequest(ObjectKind.valueOf(unpacker.unpackString()));
                 case MESSAGE_ACKNOWLEDGEMENT ->
                     new HostMessage.Acknowledgement(unpackOptionalLong(unpacker), unpackOptionalLong(unpacker));
                 default -> throw new MangowallException(FailureCode.FRAME_INVALID, "unknown peer message type " + type);
@@ -258,7 +270,8 @@
             byte[] content = unpacker.readPayload(unpacker.unpackBinaryHeader());
             objects.add(new StoredObject(kind, name, position, content, isDeleted));
         }
-        return new HostMessage.StoreObjects(kind, after, asOf, objects);
+        OptionalLong fingerprint = unpacker.hasNext() ? OptionalLong.of(unpacker.unpackLong()) : OptionalLong.empty();
+        return new HostMessage.StoreObjects(kind, after, asOf, objects, fingerprint);
     }
 
     private static StorePosition unpackPosition(MessageUnpacker unpacker) throws IOException {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerMesh.java
@@ -25,6 +25,7 @@
 import org.mangowall.edge.model.HostRecord;
 import org.mangowall.edge.overload.PathDelay;
 import org.mangowall.edge.traffic.LoadEventPublisher;
+import org.mangowall.edge.wire.ObjectKind;
 
 /**
  * Maintains the connections to other hosts that {@link RelayPlan} selects, and exchanges reports over them.
@@ -388,12 +389,35 @@
             case HostMessage.Reports reports -> reportsReceived(from, reports, now);
             case HostMessage.Handover handover ->
                 handover.events().forEach(event -> fleet.apply(self.name(), event, now));
-            case HostMessage.StoreObjects objects ->
-                mirror.applyChangesAfter(objects.kind(), objects.after(), objects.objects(), objects.asOf());
+            case HostMessage.StoreObjects objects -> storeObjectsReceived(from, objects);
+            case HostMessage.AllObjectsRequest request -> allObjectsRequested(from, request.kind(), now);
             case HostMessage.Acknowledgement acknowledgement -> acknowledged(from, acknowledgement, now);
         }
     }
 
+    private void storeObjectsReceived(PeerChannel from, HostMessage.StoreObjects update) {
+        boolean isSame = storeReaders.apply(update);
+        if (!isSame) {
+            from.send(new HostMessage.AllObjectsRequest(update.kind()));
+        }
+        PeerState sender = peerOfInbound(from);
+        log.write("store-update", line -> {
+            line.writeStringField("peer", sender == null ? "" : sender.host().name());
+            line.writeStringField("kind", update.kind().name());
+            line.writeNumberField("objects", update.objects().size());
+            line.writeNumberField("after", update.after().revision());
+            line.writeNumberField("asOf", update.asOf().revision());
+            line.writeNumberField("complete", mirror.completeTo(update.kind()).revision());
+            line.writeBooleanField("differs", !isSame);
+        });
+    }
+
+    private void allObjectsRequested(PeerChannel from, ObjectKind kind, long now) {
+        membership.peers().stream()
+                .filter(peer -> peer.outbound() == from)
+                .forEach(peer -> storeReaders.sendAll(peer, kind, now));
+    }
+
     private void helloReceived(PeerChannel from, HostMessage.Hello hello, long now) {
         if (hello.sender().name().equals(self.name())) {
             from.close();
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerState.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/PeerState.java
@@ -1,6 +1,8 @@
 package org.mangowall.edge.peer;
 
+import java.util.EnumMap;
 import java.util.Map;
+import java.util.Optional;
 
 import org.mangowall.edge.model.HostRecord;
 import org.mangowall.edge.wire.ObjectKind;
@@ -33,7 +35,8 @@
     private boolean isThroughRelay;
     private Map<ObjectKind, StorePosition> completeTo = Map.of();
     private long lastSequence;
-    private long missingSince = Long.MAX_VALUE;
+    private final Map<ObjectKind, Long> missingSince = new EnumMap<>(ObjectKind.class);
+    private final Map<ObjectKind, Comparison> comparisons = new EnumMap<>(ObjectKind.class);
     private boolean isDialing;
     private boolean isCounted;
     private boolean wantsHandover;
@@ -48,6 +51,15 @@
     private long objectsSentAt;
     private LinkRole announcedRole = LinkRole.UNKNOWN;
 
+    /**
+     * Fingerprints that were sent to the peer while it was complete up to a position.
+     *
+     * @param after the position of the peer
+     * @param asOf the position of the last fingerprint
+     * @param firstSentAt when the first one was sent
+     */
+    private record Comparison(StorePosition after, StorePosition asOf, long firstSentAt) {}
+
     PeerState(HostRecord host) {
         this.host = host;
     }
@@ -60,6 +72,8 @@
     void restarted(HostRecord newIncarnation) {
         host = newIncarnation;
         lastSequence = 0;
+        missingSince.clear();
+        comparisons.clear();
     }
 
     /**
@@ -242,10 +256,49 @@
         return hasStore;
     }
 
-    /** Updates whether the peer lacks objects that this host has; returns for how long it has, in nanoseconds. */
-    long missingForNanos(boolean isMissingObjects, long now) {
-        missingSince = isMissingObjects ? Math.min(missingSince, now) : Long.MAX_VALUE;
-        return isMissingObjects ? now - missingSince : 0;
+    /** Updates whether the peer may lack objects of a kind; returns for how long it may have, in nanoseconds. */
+    long missingForNanos(ObjectKind kind, boolean isMissing, long now) {
+        if (!isMissing) {
+            missingSince.remove(kind);
+            return 0;
+        }
+        return now - missingSince.computeIfAbsent(kind, any -> now);
+    }
+
+    /** Whether the peer is known to compare fingerprints of the store's objects. */
+    boolean comparesFingerprints() {
+        return protocolVersion >= PeerCodec.FINGERPRINT_VERSION;
+    }
+
+    /** Records that a fingerprint as of a position was sent to the peer. */
+    void recordComparison(ObjectKind kind, StorePosition asOf, long now) {
+        StorePosition after = completeTo.get(kind);
+        long firstSentAt = currentComparison(kind).map(Comparison::firstSentAt).orElse(now);
+        comparisons.put(kind, new Comparison(after, asOf, firstSentAt));
+    }
+
+    /** Whether a fingerprint as of a position was sent to the peer, whose position hasn't changed since. */
+    boolean isComparing(ObjectKind kind, StorePosition asOf) {
+        return currentComparison(kind)
+                .filter(comparison -> comparison.asOf().equals(asOf))
+                .isPresent();
+    }
+
+    /** Whether the peer's objects differ: its position hasn't changed for some time since a fingerprint was sent. */
+    boolean differs(ObjectKind kind, long timeoutNanos, long now) {
+        return currentComparison(kind)
+                .filter(comparison -> now - comparison.firstSentAt() > timeoutNanos)
+                .isPresent();
+    }
+
+    /** Ends the comparison, since all objects were sent. */
+    void endComparison(ObjectKind kind) {
+        comparisons.remove(kind);
+    }
+
+    private Optional<Comparison> currentComparison(ObjectKind kind) {
+        return Optional.ofNullable(comparisons.get(kind))
+                .filter(comparison -> comparison.after().equals(completeTo.get(kind)));
     }
 
     long objectsSentAt() {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/peer/StoreReaders.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/peer/StoreReaders.java
@@ -3,6 +3,8 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.mangowall.edge.mirror.StoreAvailability;
 import org.mangowall.edge.mirror.StoreMirror;
@@ -28,6 +30,8 @@
     private static final long READER_HEAD_START_NANOS = 800_000_000L;
     /** Interval between comparisons with the positions of the peers while no object changes. */
     private static final long COMPARE_INTERVAL_NANOS = 200_000_000L;
+    /** A peer has either asked for all objects by then, or its new position has arrived. */
+    private static final long COMPARISON_TIMEOUT_NANOS = 600_000_000L;
     /** Minimum time between two messages to the same peer; the first has arrived by then. */
     private static final long SEND_INTERVAL_NANOS = 150_000_000L;
 
@@ -79,17 +83,71 @@
             return;
         }
         for (Map.Entry<ObjectKind, StorePosition> entry : peer.completeTo().entrySet()) {
-            ObjectKind kind = entry.getKey();
-            StorePosition after = entry.getValue();
-            if (!mirror.completeTo(kind).isAfter(after)) {
-                continue;
-            }
-            List<StoredObject> missing = mirror.changedAfter(kind, after);
-            long missingNanos = peer.missingForNanos(!missing.isEmpty(), now);
-            if (!missing.isEmpty() && (isReader || !peer.role().isRelay() || missingNanos > READER_HEAD_START_NANOS)) {
-                peer.outbound().send(new HostMessage.StoreObjects(kind, after, mirror.completeTo(kind), missing));
+            update(peer, entry.getKey(), entry.getValue(), isReader, now).ifPresent(update -> {
+                peer.outbound().send(update);
                 peer.recordObjectsSent(now);
-            }
+            });
         }
     }
+
+    /**
+     * What to send to a peer that is complete up to a position. A host that doesn't know all deletions since then sends
+     * its changes with a fingerprint, and all objects if the peer's differ from them.
+     */
+    private Optional<HostMessage.StoreObjects> update(
+            PeerState peer, ObjectKind kind, StorePosition after, boolean isReader, long now) {
+        StorePosition asOf = mirror.completeTo(kind);
+        if (!asOf.isAfter(after)) {
+            peer.missingForNanos(kind, false, now);
+            return Optional.empty();
+        }
+        List<StoredObject> changed = mirror.changedAfter(kind, after);
+        boolean hasAllDeletions = mirror.knowsDeletionsAfter(kind, after);
+        long missingNanos = peer.missingForNanos(kind, !changed.isEmpty() || !hasAllDeletions, now);
+        if (changed.isEmpty() && hasAllDeletions) {
+            return Optional.empty();
+        }
+        if (!isReader && peer.role().isRelay() && missingNanos <= READER_HEAD_START_NANOS) {
+            return Optional.empty();
+        }
+        if (hasAllDeletions) {
+            return Optional.of(new HostMessage.StoreObjects(kind, after, asOf, changed, OptionalLong.empty()));
+        }
+        if (!peer.comparesFingerprints() || peer.differs(kind, COMPARISON_TIMEOUT_NANOS, now)) {
+            peer.endComparison(kind);
+            return Optional.of(allObjects(kind, asOf));
+        }
+        if (peer.isComparing(kind, asOf)) {
+            return Optional.empty();
+        }
+        peer.recordComparison(kind, asOf, now);
+        return Optional.of(
+                new HostMessage.StoreObjects(kind, after, asOf, changed, OptionalLong.of(mirror.fingerprint(kind))));
+    }
+
+    /**
+     * Applies an update of another host.
+     *
+     * @return whether this host has the same objects as the other one, as far as the update tells
+     */
+    boolean apply(HostMessage.StoreObjects update) {
+        if (update.fingerprint().isEmpty()) {
+            mirror.applyChangesAfter(update.kind(), update.after(), update.objects(), update.asOf());
+            return true;
+        }
+        long fingerprint = update.fingerprint().getAsLong();
+        return mirror.applyChangesWithoutDeletions(update.kind(), update.objects(), update.asOf(), fingerprint);
+    }
+
+    /** Sends all objects to a peer whose objects differ from a fingerprint of this host. */
+    void sendAll(PeerState peer, ObjectKind kind, long now) {
+        peer.endComparison(kind);
+        peer.outbound().send(allObjects(kind, mirror.completeTo(kind)));
+        peer.recordObjectsSent(now);
+    }
+
+    private HostMessage.StoreObjects allObjects(ObjectKind kind, StorePosition asOf) {
+        List<StoredObject> all = mirror.changedAfter(kind, StorePosition.START);
+        return new HostMessage.StoreObjects(kind, StorePosition.START, asOf, all, OptionalLong.empty());
+    }
 }
--- a/mangowall-edge/src/test/java/org/mangowall/edge/mirror/StoreMirrorTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/mirror/StoreMirrorTest.java
@@ -11,6 +11,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class StoreMirrorTest {
 
@@ -151,6 +152,79 @@
         assertEquals(List.of(), notified);
     }
 
+    /** The object was deleted before the list, so this host never knew it. */
+    @Test
+    void anOlderListOfAnotherHostDoesNotRestoreADeletedObject() {
+        mirror.applyList(ObjectKind.RUNNER, List.of(object("b", 4, false)), at(15));
+        mirror.applyChangesAfter(
+                ObjectKind.RUNNER,
+                StorePosition.START,
+                List.of(object("a", 5, false), object("b", 4, false), object("c", 16, false)),
+                at(10));
+        assertEquals(List.of("b@4", "c@16"), notified);
+    }
+
+    @Test
+    void deletionsBeforeAListAreNotKnown() {
+        mirror.applyChanges(ObjectKind.RUNNER, List.of(object("a", 5, false)), at(5));
+        mirror.applyChanges(ObjectKind.RUNNER, List.of(object("a", 7, true)), at(8));
+        assertTrue(mirror.knowsDeletionsAfter(ObjectKind.RUNNER, at(5)));
+        mirror.applyList(ObjectKind.RUNNER, List.of(), at(20));
+        assertFalse(mirror.knowsDeletionsAfter(ObjectKind.RUNNER, at(19)));
+        assertTrue(mirror.knowsDeletionsAfter(ObjectKind.RUNNER, at(20)));
+        mirror.applyChanges(ObjectKind.RUNNER, List.of(object("b", 21, false)), at(30));
+        assertTrue(mirror.knowsDeletionsAfter(ObjectKind.RUNNER, at(20)));
+        assertFalse(mirror.knowsDeletionsAfter(ObjectKind.RUNNER, at(19)));
+    }
+
+    /** Without any position, a host gets all objects, which leaves nothing to delete. */
+    @Test
+    void aHostWithoutObjectsLacksNoDeletion() {
+        mirror.applyList(ObjectKind.RUNNER, List.of(object("a", 5, false)), at(20));
+        assertTrue(mirror.knowsDeletionsAfter(ObjectKind.RUNNER, StorePosition.START));
+        mirror.applyList(ObjectKind.RUNNER, List.of(restoredObject("a", 5, "")), restored(20));
+        assertTrue(mirror.knowsDeletionsAfter(ObjectKind.RUNNER, at(20)));
+    }
+
+    @Test
+    void changesWithoutDeletionsCompleteAKindOnlyIfTheObjectsAreTheSame() {
+        StoreMirror other = mirror(new ArrayList<>());
+        other.applyList(ObjectKind.RUNNER, List.of(object("a", 5, false), object("c", 18, false)), at(20));
+        mirror.applyList(ObjectKind.RUNNER, List.of(object("a", 5, false), object("b", 6, false)), at(10));
+        applyFrom(other);
+        assertEquals(at(10), mirror.completeTo(ObjectKind.RUNNER));
+        mirror.applyChanges(ObjectKind.RUNNER, List.of(object("b", 12, true)), at(12));
+        applyFrom(other);
+        assertEquals(at(20), mirror.completeTo(ObjectKind.RUNNER));
+        assertEquals(List.of("a@5", "b@6", "c@18", "b@12 gone"), notified);
+        assertFalse(mirror.knowsDeletionsAfter(ObjectKind.RUNNER, at(12)));
+    }
+
+    private void applyFrom(StoreMirror other) {
+        mirror.applyChangesWithoutDeletions(
+                ObjectKind.RUNNER,
+                other.changedAfter(ObjectKind.RUNNER, mirror.completeTo(ObjectKind.RUNNER)),
+                other.completeTo(ObjectKind.RUNNER),
+                other.fingerprint(ObjectKind.RUNNER));
+    }
+
+    /** Tombstones would otherwise be kept for as long as the process runs. */
+    @Test
+    void theOldestTombstonesAreDropped() {
+        int deleted = MirroredObjects.MAX_TOMBSTONES + 1;
+        for (int revision = 1; revision <= deleted; revision++) {
+            String name = "r" + revision;
+            mirror.applyChanges(ObjectKind.RUNNER, List.of(object(name, 2L * revision, false)), at(2L * revision));
+            mirror.applyChanges(
+                    ObjectKind.RUNNER, List.of(object(name, 2L * revision + 1, true)), at(2L * revision + 1));
+        }
+        List<StoredObject> known = mirror.changedAfter(ObjectKind.RUNNER, StorePosition.START);
+        assertTrue(known.size() <= MirroredObjects.MAX_TOMBSTONES, known.size() + " tombstones");
+        StorePosition oldest = known.getFirst().position();
+        assertFalse(mirror.knowsDeletionsAfter(ObjectKind.RUNNER, at(oldest.revision() - 3)));
+        assertTrue(mirror.knowsDeletionsAfter(ObjectKind.RUNNER, at(oldest.revision() - 2)));
+    }
+
     @Test
     void eachEraIsAnnouncedOnce() {
         mirror.applyChanges(ObjectKind.RUNNER, List.of(), at(50));
--- a/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerCodecTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/peer/PeerCodecTest.java
@@ -102,10 +102,24 @@
         StorePosition asOf = new StorePosition(2, 10);
         StoredObject object =
                 new StoredObject(ObjectKind.RUNNER, "r", new StorePosition(2, 9), new byte[] {1, 2}, false);
-        HostMessage.StoreObjects decoded = (HostMessage.StoreObjects) PeerCodec.decode(
-                PeerCodec.encode(new HostMessage.StoreObjects(ObjectKind.RUNNER, after, asOf, List.of(object))));
-        assertEquals(after, decoded.after());
-        assertEquals(asOf, decoded.asOf());
+        for (OptionalLong fingerprint : List.of(OptionalLong.empty(), OptionalLong.of(-7))) {
+            HostMessage.StoreObjects update =
+                    new HostMessage.StoreObjects(ObjectKind.RUNNER, after, asOf, List.of(object), fingerprint);
+            assertObjects(update, (HostMessage.StoreObjects) PeerCodec.decode(PeerCodec.encode(update)));
+        }
+    }
+
+    @Test
+    void aRequestForAllObjectsRoundTrips() {
+        HostMessage.AllObjectsRequest request = new HostMessage.AllObjectsRequest(ObjectKind.CLOSED_ZONE);
+        assertEquals(request, PeerCodec.decode(PeerCodec.encode(request)));
+    }
+
+    private static void assertObjects(HostMessage.StoreObjects sent, HostMessage.StoreObjects decoded) {
+        assertEquals(sent.after(), decoded.after());
+        assertEquals(sent.asOf(), decoded.asOf());
+        assertEquals(sent.fingerprint(), decoded.fingerprint());
+        StoredObject object = sent.objects().getFirst();
         assertEquals(object.position(), decoded.objects().getFirst().position());
         assertEquals("r", decoded.objects().getFirst().name());
         assertArrayEquals(object.content(), decoded.objects().getFirst().content());
--- a/mangowall-edge/src/test/java/org/mangowall/edge/peer/SimulatedMesh.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/peer/SimulatedMesh.java
@@ -37,6 +37,7 @@
     final class Host {
         private final HostRecord record;
         private final FleetLoad load;
+        private final StoreMirror mirror = new StoreMirror(object -> {}, (previous, current) -> {});
         private final PeerMesh mesh;
         private boolean isRunning = true;
 
@@ -47,7 +48,7 @@
                     record,
                     seeds,
                     load,
-                    new StoreMirror(object -> {}, (previous, current) -> {}),
+                    mirror,
                     new StoreAvailability(now),
                     log,
                     (address, receiver, listener) -> dial(record, address, receiver, listener),
@@ -59,6 +60,14 @@
             return load;
         }
 
+        StoreMirror mirror() {
+            return mirror;
+        }
+
+        boolean isStoreReader() {
+            return mesh.isStoreReader();
+        }
+
         /** Applies and publishes a load event, as requests at this host do. */
         void publish(LoadEvent event) {
             load.apply(record.name(), event, now);
