Apply the limit of request heads to connections that are open

Cause: the library's decoder takes its limits when it is created with the connection. Ruled out: a version that isn't in force (new connections of the same moment get 200).

Change: the request decoder measures heads itself, by the library's rule, and reads the limit in force whenever bytes of a head arrive. Beside it: idle connections to a runner above a lowered max_conns are closed.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/CallerConnection.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/CallerConnection.java
@@ -22,7 +22,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import org.mangowall.edge.model.CallerLimits;
-import org.mangowall.edge.model.RouteTable;
 import org.mangowall.edge.overload.BodyRoom;
 import org.mangowall.edge.overload.ConnectionHolder;
 import org.mangowall.edge.overload.HeldPart;
@@ -170,7 +169,7 @@
     }
 
     private CallerLimits limits() {
-        return context.table().map(RouteTable::limits).orElse(CallerLimits.DEFAULT);
+        return context.callerLimits();
     }
 
     private void startRequest(HttpRequest request) {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/CallerConnections.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/CallerConnections.java
@@ -13,7 +13,6 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import org.mangowall.edge.log.GuardedTask;
 import org.mangowall.edge.log.TrafficMeter;
-import org.mangowall.edge.model.CallerLimits;
 import org.mangowall.edge.overload.DescriptorBudget;
 
 /** Accepts the callers' connections of this host and enforces their timeouts. */
@@ -55,14 +54,12 @@
         if (channel instanceof SocketChannel) {
             TcpKeepAlive.apply(channel);
         }
-        int headerBytes =
-                context.table().map(table -> table.limits().headerBytes()).orElse(CallerLimits.DEFAULT.headerBytes());
         CallerConnection connection = new CallerConnection(context, runners, this);
         channel.pipeline()
                 .addLast(
                         context.traffic().counter(TrafficMeter.Endpoint.CALLER),
                         new BytesReceivedHandler(connection),
-                        new StrictRequestDecoder(headerBytes),
+                        new StrictRequestDecoder(() -> context.callerLimits().headerBytes()),
                         new HttpResponseEncoder(),
                         connection);
     }
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/EdgeContext.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/EdgeContext.java
@@ -14,6 +14,7 @@
 import org.mangowall.edge.log.DecisionLog;
 import org.mangowall.edge.log.EdgeMetrics;
 import org.mangowall.edge.log.TrafficMeter;
+import org.mangowall.edge.model.CallerLimits;
 import org.mangowall.edge.model.RouteTable;
 import org.mangowall.edge.overload.BodyRoom;
 import org.mangowall.edge.overload.HeldMemory;
@@ -172,6 +173,11 @@
         return table;
     }
 
+    /** The limits in force on requests and connections of callers. */
+    CallerLimits callerLimits() {
+        return table.map(RouteTable::limits).orElse(CallerLimits.DEFAULT);
+    }
+
     /**
      * Activates a configuration unless it is no newer than the active one.
      *
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerConnections.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerConnections.java
@@ -192,6 +192,7 @@
         while (iterator.hasNext()) {
             RunnerPool pool = iterator.next();
             pool.closeExpired();
+            pool.closeIdleAbove(maxConnections(pool.runner().service()));
             if (context.fleet().runner(pool.runner().identifier()).isEmpty()) {
                 pool.closeIdle();
                 if (pool.isEmpty()) {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerPool.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerPool.java
@@ -91,6 +91,13 @@
         }
     }
 
+    /** Closes idle connections while there are more connections than allowed. */
+    void closeIdleAbove(int most) {
+        while (size() > most && hasIdle()) {
+            closeLongestIdle();
+        }
+    }
+
     /** Closes the connection that has been idle for the longest time, if any is. */
     void closeLongestIdle() {
         if (idle.isEmpty()) {
