Start the programs of signal tests with the signals' default action

Cause: a process inherits which signals are ignored, and the Java runtime leaves ignored ones ignored.

--- a/mangowall-router/src/test/java/org/mangowall/router/StartSignalsTest.java
+++ b/mangowall-router/src/test/java/org/mangowall/router/StartSignalsTest.java
@@ -62,7 +62,10 @@
     }
 
     private void startRouter() throws IOException {
+        // A process inherits which signals are ignored, as jobs in the background ignore SIGINT.
         process = new ProcessBuilder(
+                        "env",
+                        "--default-signal=HUP,INT,TERM",
                         Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                         "-Xmx96m",
                         "-XX:+UseSerialGC",
