Read every response by one strict grammar

Cause: the library's decoder is lenient with responses, and the checks stood where a fault had once been shown. What may be trusted was stated nowhere.

StrictResponseDecoder (new module mangowall-http) checks status line, fields, chunk lines and trailers before the library's decoder sees them. An invalid response is an attempt that failed after it was sent; the failed line names the part, bounded and escaped. Beside it: responses to HEAD had content for the host (two runners, 504), and mangowall-router dropped an invalid head after an interim response without an end.

StrictResponseDecoderTest compares the decoder with expressions of the RFCs for each byte replaced by each value, tokens inserted at each place, and 20,000 random changes.

--- a/mangowall-command/src/main/java/org/mangowall/command/client/RouterHttpClient.java
+++ b/mangowall-command/src/main/java/org/mangowall/command/client/RouterHttpClient.java
@@ -13,6 +13,7 @@
 import org.asynchttpclient.Request;
 import org.asynchttpclient.RequestBuilder;
 import org.asynchttpclient.Response;
+import org.mangowall.http.StrictHttpClients;
 import org.mangowall.inventory.checked.HostAndPort;
 import org.mangowall.kernel.failure.FailureCode;
 import org.mangowall.kernel.failure.MangowallException;
@@ -32,6 +33,7 @@
                 .setThreadPoolName("mangowall-command")
                 .setIoThreadsCount(1)
                 .setMaxRequestRetry(0)
+                .setHttpAdditionalChannelInitializer(StrictHttpClients::readStrictly)
                 .setConnectTimeout(timeout)
                 .setReadTimeout(timeout)
                 .setRequestTimeout(timeout)
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/JvmWarmUp.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/JvmWarmUp.java
@@ -20,7 +20,6 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import org.mangowall.edge.decision.FleetLoad;
@@ -41,6 +40,7 @@
 import org.mangowall.edge.traffic.EdgeContext;
 import org.mangowall.edge.traffic.RunnerConnections;
 import org.mangowall.edge.wire.HttpMessageCodec;
+import org.mangowall.http.StrictClientCodec;
 
 /**
  * Warms up the JVM with synthetic requests, so that the data path is loaded and compiled before the first real ones.
@@ -102,7 +102,7 @@
                     protected void initChannel(Channel channel) {
                         channel.pipeline()
                                 .addLast(
-                                        new HttpClientCodec(),
+                                        new StrictClientCodec(),
                                         new HttpObjectAggregator(MAX_BODY_BYTES),
                                         new WarmUpCaller(
                                                 messages,
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerConnection.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerConnection.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -29,6 +30,7 @@
 import io.netty.util.ReferenceCountUtil;
 import org.mangowall.edge.model.RunnerResponse;
 import org.mangowall.edge.wire.HttpMessageCodec;
+import org.mangowall.http.InvalidResponseException;
 import org.mangowall.kernel.http.JoinedBodyDetector;
 import org.mangowall.kernel.http.StrayPlace;
 
@@ -104,6 +106,7 @@
         recordIdentifier(identifier);
         joinedBody = new JoinedBodyDetector(identifiers);
         isIdentifierRequired = hasCarriedRequest;
+        decoder.setHeadRequest(HttpMethod.HEAD.equals(head.method()));
         if (body.isReadable() || head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
             head.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         }
@@ -197,7 +200,7 @@
                 if (result.cause() instanceof RunnerResponseDecoder.JoinedResponsesException) {
                     pool.strayBytesReceived(StrayPlace.IN_HEAD);
                 }
-                fail("invalid HTTP response: " + result.cause().getClass().getSimpleName());
+                fail("invalid HTTP response: " + describe(result.cause()));
                 return;
             }
             if (message instanceof HttpResponse head) {
@@ -211,6 +214,12 @@
         }
     }
 
+    private static String describe(Throwable cause) {
+        return cause instanceof InvalidResponseException
+                ? cause.getMessage()
+                : cause.getClass().getSimpleName();
+    }
+
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
         if (isCompletionHeld && decoder.hasMessageBegun()) {
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerResponseDecoder.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerResponseDecoder.java
@@ -10,10 +10,9 @@
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
-import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import org.mangowall.http.InvalidResponseException;
+import org.mangowall.http.StrictResponseDecoder;
 import org.mangowall.kernel.http.StatusLineMatcher;
 
 /**
@@ -23,16 +22,21 @@
  * <p>A response in whose head, chunk sizes or trailers a second status line begins is invalid: one response broke off
  * there, and what follows belongs to another one.
  */
-final class RunnerResponseDecoder extends HttpResponseDecoder {
+final class RunnerResponseDecoder extends StrictResponseDecoder {
 
     private final StatusLineMatcher statusLineMatcher = new StatusLineMatcher();
+    private boolean isHeadRequest;
     private int statusLines;
-    private boolean hasMessageBegun;
     private boolean isInputEnded;
 
-    /** Whether any byte was received since the end of the last message. */
-    boolean hasMessageBegun() {
-        return hasMessageBegun || internalBuffer().isReadable();
+    /** Sets whether the next response answers a request for the head only. */
+    void setHeadRequest(boolean newHeadRequest) {
+        isHeadRequest = newHeadRequest;
+    }
+
+    @Override
+    protected boolean isResponseToHead() {
+        return isHeadRequest;
     }
 
     @Override
@@ -42,7 +46,6 @@
         super.decode(context, input, output);
         List<Object> decoded = output.subList(outputBefore, output.size());
         int framingBytes = input.readerIndex() - start - contentBytes(decoded);
-        hasMessageBegun |= input.readerIndex() > start;
         if (framingBytes > 0) {
             input.forEachByte(start, framingBytes, this::countStatusLine);
         }
@@ -67,14 +70,11 @@
     }
 
     private HttpObject checked(HttpObject message) {
-        boolean isOtherProtocol = message instanceof HttpResponse head
-                && !head.protocolVersion().protocolName().equals(HttpVersion.HTTP_1_1.protocolName());
-        boolean isJoined = statusLines > 1 || isOtherProtocol;
+        boolean isJoined = statusLines > 1;
         if (message instanceof LastHttpContent) {
             statusLines = 0;
-            hasMessageBegun = false;
         }
-        if (!isJoined || message.decoderResult().isFailure()) {
+        if (!isJoined || isFailedOtherwise(message)) {
             return message;
         }
         // The empty last content is a constant, whose result can't be set.
@@ -83,6 +83,12 @@
         return invalid;
     }
 
+    /** Whether a message has failed for another reason than its grammar, which a joined response breaks, too. */
+    private static boolean isFailedOtherwise(HttpObject message) {
+        DecoderResult result = message.decoderResult();
+        return result.isFailure() && !(result.cause() instanceof InvalidResponseException);
+    }
+
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
         isInputEnded |= event instanceof ChannelInputShutdownEvent;
@@ -93,8 +99,6 @@
     protected void decodeLast(ChannelHandlerContext context, ByteBuf input, List<Object> output) throws Exception {
         if (isInputEnded) {
             super.decodeLast(context, input, output);
-            // The end of the connection has ended the message that it delimits.
-            hasMessageBegun = false;
         }
     }
 
--- /dev/null
+++ b/mangowall-http/src/main/java/org/mangowall/http/package-info.java
@@ -0,0 +1,2 @@
+/** Reading of HTTP responses with Netty, for all clients of the project. */
+package org.mangowall.http;
--- /dev/null
+++ b/mangowall-http/src/test/java/org/mangowall/http/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the reading of HTTP responses. */
+package org.mangowall.http;
--- a/mangowall-platform/src/main/java/org/mangowall/platform/http/HttpPlatformClient.java
+++ b/mangowall-platform/src/main/java/org/mangowall/platform/http/HttpPlatformClient.java
@@ -13,6 +13,7 @@
 import org.asynchttpclient.DefaultAsyncHttpClientConfig;
 import org.asynchttpclient.Dsl;
 import org.asynchttpclient.Response;
+import org.mangowall.http.StrictHttpClients;
 import org.mangowall.kernel.failure.FailureCode;
 import org.mangowall.kernel.failure.MangowallException;
 import org.mangowall.platform.HostEntry;
@@ -54,6 +55,7 @@
                 .setReadTimeout(Duration.ofMillis(-1))
                 .setKeepAlive(false)
                 .setKeepAliveStrategy((address, request, sentRequest, response) -> false)
+                .setHttpAdditionalChannelInitializer(StrictHttpClients::readStrictly)
                 .build();
         this.http = Dsl.asyncHttpClient(configuration);
         this.base = withoutTrailingSlash(settings.endpoint().toString());
--- a/mangowall-router/src/main/java/org/mangowall/router/runner/RunnerCall.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/runner/RunnerCall.java
@@ -14,6 +14,7 @@
 import org.asynchttpclient.HttpResponseBodyPart;
 import org.asynchttpclient.HttpResponseStatus;
 import org.asynchttpclient.netty.request.NettyRequest;
+import org.mangowall.http.InvalidResponseException;
 import org.mangowall.inventory.Runner;
 import org.mangowall.inventory.Service;
 import org.mangowall.kernel.log.ComponentLog;
@@ -262,6 +263,11 @@
             listener.ended(RunnerOutcome.NOT_SENT, 0);
             return;
         }
+        if (failure instanceof InvalidResponseException) {
+            LOG.warn(
+                    "runner %s sent an invalid response to request %s: %s",
+                    runner.name(), identifier, failure.getMessage());
+        }
         finish(abortOutcome != null ? abortOutcome : RunnerOutcome.BROKEN);
     }
 
--- a/mangowall-router/src/main/java/org/mangowall/router/runner/RunnerClient.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/runner/RunnerClient.java
@@ -15,7 +15,7 @@
 import org.asynchttpclient.Request;
 import org.asynchttpclient.RequestBuilder;
 import org.asynchttpclient.channel.KeepAliveStrategy;
-import org.asynchttpclient.netty.channel.ChannelManager;
+import org.mangowall.http.StrictHttpClients;
 import org.mangowall.inventory.Runner;
 import org.mangowall.inventory.Service;
 import org.mangowall.kernel.http.StrayPlace;
@@ -84,8 +84,7 @@
 
     private void initialize(Channel channel) {
         channel.pipeline().addFirst(new ReadPauseHandler());
-        RunnerCodec codec = new RunnerCodec(place -> strayBytesReceived(channel, place));
-        channel.pipeline().replace(ChannelManager.HTTP_CLIENT_CODEC, ChannelManager.HTTP_CLIENT_CODEC, codec);
+        StrictHttpClients.replaceCodec(channel, new RunnerCodec(place -> strayBytesReceived(channel, place)));
     }
 
     private void strayBytesReceived(Channel channel, StrayPlace place) {
--- a/mangowall-router/src/main/java/org/mangowall/router/runner/RunnerCodec.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/runner/RunnerCodec.java
@@ -13,16 +13,14 @@
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
+import org.mangowall.http.StrictResponseDecoder;
 import org.mangowall.kernel.http.JoinedBodyDetector;
 import org.mangowall.kernel.http.StatusLineMatcher;
 import org.mangowall.kernel.http.StrayPlace;
@@ -65,10 +63,7 @@
     }
 
     /** Decodes the awaited response and nothing else. */
-    static final class ResponseDecoder extends HttpResponseDecoder {
-
-        private static final byte FIRST_BYTE = 'H';
-        private static final String NO_STATUS_LINE = "no status line";
+    static final class ResponseDecoder extends StrictResponseDecoder {
 
         private final Consumer<StrayPlace> strayBytesListener;
         /** The method of the request whose response is awaited, or null. */
@@ -80,7 +75,6 @@
         private final StatusLineMatcher statusLineMatcher = new StatusLineMatcher();
         private int statusLines;
         private JoinedBodyDetector joinedBody;
-        private boolean isBeforeHead;
         private boolean isInterim;
         private int interimResponses;
 
@@ -93,7 +87,6 @@
             recordIdentifier(identifier);
             joinedBody = new JoinedBodyDetector(identifiers);
             statusLines = 0;
-            isBeforeHead = true;
             interimResponses = 0;
         }
 
@@ -113,16 +106,6 @@
                 closeForStrayBytes(context, in, StrayPlace.BETWEEN_REQUESTS);
                 return;
             }
-            // The decoder of the library skips any control characters and spaces before a head.
-            if (isBeforeHead && in.getByte(in.readerIndex()) != FIRST_BYTE) {
-                in.skipBytes(in.readableBytes());
-                HttpResponse invalid = (HttpResponse) createInvalidMessage();
-                refuse(invalid, NO_STATUS_LINE);
-                out.add(invalid);
-                awaitedMethod = null;
-                return;
-            }
-            isBeforeHead = false;
             List<Object> messages = new ArrayList<>();
             int start = in.readerIndex();
             super.decode(context, in, messages);
@@ -183,17 +166,18 @@
         }
 
         private void pass(Object message, List<Object> out) {
-            if (message instanceof HttpResponse head && head.decoderResult().isSuccess()) {
-                check(head);
-                isInterim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL
-                        && head.decoderResult().isSuccess();
+            if (message instanceof HttpResponse head) {
+                if (head.decoderResult().isSuccess()) {
+                    check(head);
+                }
+                isInterim =
+                        head.decoderResult().isSuccess() && head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
             }
             boolean isLast = message instanceof LastHttpContent;
             if (isLast) {
                 statusLines = 0;
             }
             if (isInterim) {
-                isBeforeHead = isLast;
                 return;
             }
             out.add(message);
@@ -206,10 +190,11 @@
             if (statusLines > 1) {
                 strayBytesListener.accept(StrayPlace.IN_HEAD);
                 refuse(head, "two heads in one");
-            } else if (ResponseHeadRules.isAmbiguous(head.headers())) {
-                refuse(head, "contradictory headers");
-            } else if (head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
-                refuse(head, "an unwanted change of protocol");
+            } else if (head.headers()
+                            .getAll(IdentifiedAnswerKeepAliveStrategy.REQUEST_HEADER)
+                            .size()
+                    > 1) {
+                refuse(head, "more than one request identifier");
             } else if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
                 interimResponses++;
                 if (interimResponses > MAXIMUM_INTERIM_RESPONSES) {
@@ -223,21 +208,8 @@
         }
 
         @Override
-        protected HttpMessage createMessage(String[] initialLine) {
-            if (!ResponseHeadRules.isStatusLine(initialLine[0], initialLine[1])) {
-                throw new CorruptedFrameException(NO_STATUS_LINE);
-            }
-            return super.createMessage(initialLine);
-        }
-
-        @Override
-        protected boolean isContentAlwaysEmpty(HttpMessage message) {
-            return HttpMethod.HEAD.equals(awaitedMethod) || super.isContentAlwaysEmpty(message);
-        }
-
-        @Override
-        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-            throw new CorruptedFrameException("a body with both a length and chunks");
+        protected boolean isResponseToHead() {
+            return HttpMethod.HEAD.equals(awaitedMethod);
         }
     }
 }
--- a/mangowall-standin/src/main/java/org/mangowall/standin/caller/LoadRun.java
+++ b/mangowall-standin/src/main/java/org/mangowall/standin/caller/LoadRun.java
@@ -17,6 +17,7 @@
 
 import org.asynchttpclient.AsyncHttpClient;
 import org.asynchttpclient.Dsl;
+import org.mangowall.http.StrictHttpClients;
 import org.mangowall.inventory.Runner;
 import org.mangowall.kernel.duty.Duty;
 import org.mangowall.kernel.failure.FailureCode;
@@ -65,6 +66,7 @@
                 .setRequestTimeout(CALL_TIMEOUT)
                 .setReadTimeout(CALL_TIMEOUT)
                 .setMaxRequestRetry(0)
+                .setHttpAdditionalChannelInitializer(StrictHttpClients::readStrictly)
                 .setIoThreadsCount(2)
                 .build();
         try (AsyncHttpClient client = Dsl.asyncHttpClient(configuration)) {
--- a/mangowall-standin/src/main/java/org/mangowall/standin/demo/DemoCalls.java
+++ b/mangowall-standin/src/main/java/org/mangowall/standin/demo/DemoCalls.java
@@ -13,6 +13,7 @@
 import org.asynchttpclient.Request;
 import org.asynchttpclient.RequestBuilder;
 import org.asynchttpclient.Response;
+import org.mangowall.http.StrictHttpClients;
 import org.mangowall.kernel.failure.FailureCode;
 import org.mangowall.kernel.failure.MangowallException;
 import org.mangowall.standin.caller.ChatStreamText;
@@ -21,7 +22,9 @@
 /** Sends the calls of the demo and prints each with its response. */
 final class DemoCalls implements AutoCloseable {
 
-    private final AsyncHttpClient client = Dsl.asyncHttpClient(Dsl.config().setRequestTimeout(Duration.ofSeconds(60)));
+    private final AsyncHttpClient client = Dsl.asyncHttpClient(Dsl.config()
+            .setRequestTimeout(Duration.ofSeconds(60))
+            .setHttpAdditionalChannelInitializer(StrictHttpClients::readStrictly));
     private final PrintStream out;
 
     DemoCalls(PrintStream out) {
