Don't take an end before the upload was read for that of the response

Cause: the end of the connection was believed though a reset followed. Reads return the end whatever comes behind it, a failed write uses up the error, and the kernel may have taken an upload that the runner never read. Ruled out: a close by the host itself, which counted as incomplete before.

Change, in hosts and mangowall-router: such a response is incomplete while a part of the request isn't written, after writing failed, or if an error is pending on the connection, which a selector tells (ResetProbe); for requests of 16 KiB and more that is asked 20 ms after the end. Responses with a length, in chunks, or to requests without a body are as before.

--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerConnection.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerConnection.java
@@ -31,6 +31,7 @@
 import org.mangowall.edge.model.RunnerResponse;
 import org.mangowall.edge.wire.HttpMessageCodec;
 import org.mangowall.http.InvalidResponseException;
+import org.mangowall.http.ResetProbe;
 import org.mangowall.kernel.http.JoinedBodyDetector;
 import org.mangowall.kernel.http.StrayPlace;
 
@@ -53,7 +54,7 @@
 
     private final HttpMessageCodec messages;
     private final RunnerPool pool;
-    private final RunnerResponseDecoder decoder = new RunnerResponseDecoder();
+    private final RunnerResponseDecoder decoder = new RunnerResponseDecoder(this::isRequestWritten);
     private Channel channel;
     private RunnerResponseListener listener;
     private ChannelFuture requestWrite;
@@ -61,7 +62,10 @@
     private boolean isSkippingResponse;
     /** Whether the response is complete unless its last bytes turn out to be the start of another one. */
     private boolean isCompletionHeld;
+    /** Whether the response, which the end of the connection delimits, is complete unless a reset follows. */
+    private boolean isEndHeld;
 
+    private int requestBytes;
     private int skippedHeads;
     private long skippedBytes;
     private JoinedBodyDetector joinedBody;
@@ -101,6 +105,8 @@
         isReceivingResponse = false;
         isSkippingResponse = false;
         isCompletionHeld = false;
+        isEndHeld = false;
+        requestBytes = body.readableBytes();
         skippedHeads = 0;
         skippedBytes = 0;
         recordIdentifier(identifier);
@@ -138,7 +144,7 @@
 
     /** Whether the request was written without an error. */
     boolean isRequestWritten() {
-        return requestWrite.isSuccess();
+        return requestWrite != null && requestWrite.isSuccess();
     }
 
     /** Resumes or pauses reading, for back pressure while the caller is slower than the runner. */
@@ -158,6 +164,7 @@
     void cancel() {
         listener = null;
         isCompletionHeld = false;
+        isEndHeld = false;
         if (channel.isActive()) {
             channel.config().setOption(ChannelOption.SO_LINGER, RESET_ON_CLOSE);
         }
@@ -308,6 +315,8 @@
     private void lastContentReceived() {
         if (joinedBody.isInsideHead() && decoder.hasMessageBegun()) {
             failAfterJoinedBody();
+        } else if (decoder.isInputEnded() && requestBytes > 0) {
+            endReceived();
         } else if (joinedBody.isLikelyInsideHead()) {
             isCompletionHeld = true;
             channel.eventLoop().schedule(this::completeHeld, HOLD_MILLIS, TimeUnit.MILLISECONDS);
@@ -316,6 +325,39 @@
         }
     }
 
+    /**
+     * The runner has ended the connection behind the response to a request with a body. If it didn't read the whole
+     * body, a reset follows, and the response is as incomplete as if the reset had come first.
+     */
+    private void endReceived() {
+        if (requestBytes < ResetProbe.LARGE_REQUEST_BYTES) {
+            completeUnlessReset();
+            return;
+        }
+        isEndHeld = true;
+        channel.eventLoop().schedule(this::completeHeldEnd, ResetProbe.RESET_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void completeHeldEnd() {
+        if (isEndHeld) {
+            isEndHeld = false;
+            completeUnlessReset();
+        }
+    }
+
+    private void completeUnlessReset() {
+        try {
+            if (ResetProbe.isReset(channel)) {
+                fail("the runner ended the connection before it had read the request");
+                return;
+            }
+        } catch (IOException failure) {
+            fail("whether the connection was reset can't be determined: " + failure.getMessage());
+            return;
+        }
+        complete();
+    }
+
     /** Whether another response begins in a part of the body. */
     private boolean isJoined(ByteBuf part) {
         return part.forEachByte(next -> !joinedBody.isFoundAt(next)) >= 0;
@@ -342,7 +384,7 @@
             pool.strayBytesReceived(StrayPlace.AFTER_RESPONSE);
             isTainted = true;
         }
-        boolean isReusable = !isTainted && requestWrite.isSuccess() && channel.isActive();
+        boolean isReusable = !isTainted && !decoder.isInputEnded() && requestWrite.isSuccess() && channel.isActive();
         if (isReusable) {
             setReading(true);
             pool.release(this);
@@ -354,7 +396,7 @@
 
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
-        if (event instanceof ChannelInputShutdownEvent) {
+        if (event instanceof ChannelInputShutdownEvent && !isEndHeld) {
             fail("the runner closed the connection");
         }
         context.fireUserEventTriggered(event);
@@ -375,6 +417,7 @@
 
     private void fail(String reason) {
         completeHeld();
+        isEndHeld = false;
         RunnerResponseListener failed = listener;
         listener = null;
         channel.close();
--- a/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerResponseDecoder.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/traffic/RunnerResponseDecoder.java
@@ -1,6 +1,7 @@
 package org.mangowall.edge.traffic;
 
 import java.util.List;
+import java.util.function.BooleanSupplier;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
@@ -17,7 +18,7 @@
 
 /**
  * Decodes responses of runners. A response without a length and without chunks is complete only if the runner ended the
- * connection in order, not after a reset or a close by this host.
+ * connection in order, not after a reset or a close by this host, and if the request was written before.
  *
  * <p>A response in whose head, chunk sizes or trailers a second status line begins is invalid: one response broke off
  * there, and what follows belongs to another one.
@@ -25,10 +26,20 @@
 final class RunnerResponseDecoder extends StrictResponseDecoder {
 
     private final StatusLineMatcher statusLineMatcher = new StatusLineMatcher();
+    private final BooleanSupplier isRequestWritten;
     private boolean isHeadRequest;
     private int statusLines;
     private boolean isInputEnded;
 
+    /**
+     * Creates a decoder for one connection.
+     *
+     * @param isRequestWritten whether the whole request was written without an error
+     */
+    RunnerResponseDecoder(BooleanSupplier isRequestWritten) {
+        this.isRequestWritten = isRequestWritten;
+    }
+
     /** Sets whether the next response answers a request for the head only. */
     void setHeadRequest(boolean newHeadRequest) {
         isHeadRequest = newHeadRequest;
@@ -89,6 +100,11 @@
         return result.isFailure() && !(result.cause() instanceof InvalidResponseException);
     }
 
+    /** Whether the runner has ended the connection. */
+    boolean isInputEnded() {
+        return isInputEnded;
+    }
+
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
         isInputEnded |= event instanceof ChannelInputShutdownEvent;
@@ -97,7 +113,7 @@
 
     @Override
     protected void decodeLast(ChannelHandlerContext context, ByteBuf input, List<Object> output) throws Exception {
-        if (isInputEnded) {
+        if (isInputEnded && isRequestWritten.getAsBoolean()) {
             super.decodeLast(context, input, output);
         }
     }
--- a/mangowall-router/src/main/java/org/mangowall/router/runner/RunnerClient.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/runner/RunnerClient.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.util.HashedWheelTimer;
 import org.asynchttpclient.AsyncHttpClient;
@@ -83,6 +84,7 @@
     }
 
     private void initialize(Channel channel) {
+        channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
         channel.pipeline().addFirst(new ReadPauseHandler());
         StrictHttpClients.replaceCodec(channel, new RunnerCodec(place -> strayBytesReceived(channel, place)));
     }
--- a/mangowall-router/src/main/java/org/mangowall/router/runner/RunnerCodec.java
+++ b/mangowall-router/src/main/java/org/mangowall/router/runner/RunnerCodec.java
@@ -4,11 +4,15 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.SequencedSet;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufHolder;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.CombinedChannelDuplexHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
@@ -20,6 +24,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
+import org.mangowall.http.ResetProbe;
 import org.mangowall.http.StrictResponseDecoder;
 import org.mangowall.kernel.http.JoinedBodyDetector;
 import org.mangowall.kernel.http.StatusLineMatcher;
@@ -60,6 +65,12 @@
             }
             super.encode(context, message, out);
         }
+
+        @Override
+        public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) throws Exception {
+            decoder.writeBegan(message);
+            super.write(context, message, promise.unvoid().addListener(done -> decoder.writeEnded(done.isSuccess())));
+        }
     }
 
     /** Decodes the awaited response and nothing else. */
@@ -77,6 +88,12 @@
         private JoinedBodyDetector joinedBody;
         private boolean isInterim;
         private int interimResponses;
+        private int pendingWrites;
+        private boolean hasWriteFailed;
+        /** The size of the request's body. */
+        private int requestBytes;
+
+        private boolean isEndOrderly;
 
         ResponseDecoder(Consumer<StrayPlace> strayBytesListener) {
             this.strayBytesListener = strayBytesListener;
@@ -90,6 +107,20 @@
             interimResponses = 0;
         }
 
+        private void writeBegan(Object message) {
+            pendingWrites += 1;
+            if (message instanceof HttpRequest) {
+                requestBytes = 0;
+            }
+            requestBytes +=
+                    message instanceof ByteBufHolder part ? part.content().readableBytes() : 0;
+        }
+
+        private void writeEnded(boolean isSuccess) {
+            pendingWrites -= 1;
+            hasWriteFailed |= !isSuccess;
+        }
+
         private void recordIdentifier(String identifier) {
             if (identifier == null) {
                 return;
@@ -211,5 +242,36 @@
         protected boolean isResponseToHead() {
             return HttpMethod.HEAD.equals(awaitedMethod);
         }
+
+        /** The runner has ended the connection, which may delimit the response; else, it can't be used any more. */
+        @Override
+        public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
+            if (!(event instanceof ChannelInputShutdownEvent)) {
+                super.userEventTriggered(context, event);
+            } else if (awaitedMethod == null || requestBytes < ResetProbe.LARGE_REQUEST_BYTES) {
+                inputEnded(context);
+            } else {
+                context.executor()
+                        .schedule(() -> inputEnded(context), ResetProbe.RESET_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        private void inputEnded(ChannelHandlerContext context) {
+            try {
+                boolean isRequestWritten = pendingWrites == 0 && !hasWriteFailed;
+                isEndOrderly = isRequestWritten && (requestBytes == 0 || !ResetProbe.isReset(context.channel()));
+                super.userEventTriggered(context, ChannelInputShutdownEvent.INSTANCE);
+            } catch (Exception failure) {
+                context.fireExceptionCaught(failure);
+            }
+            context.close();
+        }
+
+        @Override
+        protected void decodeLast(ChannelHandlerContext context, ByteBuf in, List<Object> out) throws Exception {
+            if (isEndOrderly) {
+                super.decodeLast(context, in, out);
+            }
+        }
     }
 }
