--- a/mangowall-edge/src/main/java/org/mangowall/edge/mirror/StoreWatcher.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/mirror/StoreWatcher.java
@@ -1,10 +1,8 @@
 package org.mangowall.edge.mirror;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -26,11 +24,6 @@
  */
 public final class StoreWatcher {
 
-    /** Minimum duration of a watch; short enough to detect a silent store or connection within seconds. */
-    private static final long MIN_WATCH_MILLIS = 2_800;
-    /** Random addition to the duration, which spreads the watches of hosts that started together. */
-    private static final long WATCH_JITTER_MILLIS = 800;
-
     /** How often a host that doesn't query the store checks whether it should. */
     private static final long STANDBY_CHECK_MILLIS = 250;
 
@@ -41,6 +34,7 @@
     private final ObjectStoreClient storeClient;
     private final StoreMirror mirror;
     private final StoreAvailability storeAvailability;
+    private final WatchSchedule schedule;
     private final EventLoop loop;
     private final LongSupplier nanos;
     private final Consumer<String> availabilityLog;
@@ -57,6 +51,7 @@
      * Creates a watcher that isn't started yet.
      *
      * @param storeAvailability shared by the watchers of one store
+     * @param schedule shared by the watchers of one store
      * @param availabilityLog called with a message when calls to the store begin to fail or succeed again
      * @param isStoreReader whether this host queries the store; otherwise other hosts send it the changes
      */
@@ -65,6 +60,7 @@
             ObjectStoreClient storeClient,
             StoreMirror mirror,
             StoreAvailability storeAvailability,
+            WatchSchedule schedule,
             EventLoop loop,
             LongSupplier nanos,
             Consumer<String> availabilityLog,
@@ -73,6 +69,7 @@
         this.storeClient = storeClient;
         this.mirror = mirror;
         this.storeAvailability = storeAvailability;
+        this.schedule = schedule;
         this.loop = loop;
         this.nanos = nanos;
         this.availabilityLog = availabilityLog;
@@ -96,15 +93,12 @@
             storeClient.list(kind, "", false, this::handleOutcome);
         } else {
             watchedFrom = mirror.completeTo(kind);
-            storeClient.watch(kind, watchedFrom, watchDuration(), this::handleOutcome);
+            storeClient.watch(kind, watchedFrom, schedule.begin(kind, nanos.getAsLong()), this::handleOutcome);
         }
     }
 
-    private static Duration watchDuration() {
-        return Duration.ofMillis(MIN_WATCH_MILLIS + ThreadLocalRandom.current().nextLong(WATCH_JITTER_MILLIS));
-    }
-
     private void handleOutcome(StoreOutcome outcome) {
+        schedule.end(kind);
         switch (outcome) {
             case StoreOutcome.Page page -> handlePage(page);
             case StoreOutcome.Changes changes -> handleChanges(changes);
--- a/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
+++ b/mangowall-edge/src/main/java/org/mangowall/edge/program/Edge.java
@@ -32,6 +32,7 @@
 import org.mangowall.edge.mirror.StoreAvailability;
 import org.mangowall.edge.mirror.StoreMirror;
 import org.mangowall.edge.mirror.StoreWatcher;
+import org.mangowall.edge.mirror.WatchSchedule;
 import org.mangowall.edge.model.HostRecord;
 import org.mangowall.edge.model.RunnerEntry;
 import org.mangowall.edge.overload.HeldMemory;
@@ -182,12 +183,14 @@
                 settings.zone());
         callers = new CallerConnections(context, new RunnerConnections(context), DescriptorLimit.of(settings));
         ObjectStoreClient storeClient = adapter.connect(settings.store().toSocketAddress(), loop);
+        WatchSchedule watchSchedule = new WatchSchedule(random::nextDouble);
         for (ObjectKind kind : List.of(ObjectKind.CONFIGURATION, ObjectKind.RUNNER, ObjectKind.CLOSED_ZONE)) {
             new StoreWatcher(
                             kind,
                             storeClient,
                             mirror,
                             storeAvailability,
+                            watchSchedule,
                             loop,
                             System::nanoTime,
                             this::logStoreAvailability,
--- a/mangowall-edge/src/test/java/org/mangowall/edge/mirror/StoreWatcherTest.java
+++ b/mangowall-edge/src/test/java/org/mangowall/edge/mirror/StoreWatcherTest.java
@@ -67,6 +67,7 @@
                         calls,
                         mirror,
                         new StoreAvailability(0),
+                        new WatchSchedule(() -> 0),
                         channel.eventLoop(),
                         () -> 0,
                         message -> {},
